--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -130,6 +130,27 @@
     return False
 
 
+def expect_another(wire: Wire) -> bool:
+    """Prepare a client's side for one more answer to the request that it has sent.
+
+    The answer that was just read to its end belonged to an earlier request. Returns whether the
+    connection can go on.
+
+    :param wire: a connection whose request has been sent in full.
+    """
+    if wire.http.our_state is not h11.DONE or wire.http.their_state is not h11.DONE:
+        return False
+    left, is_closed = wire.http.trailing_data
+    http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+    # h11 ties an answer to a request of its own; the real one is on its way already.
+    http.send(h11.Request(method="GET", target="/", headers=[("host", "-")]))
+    http.send(h11.EndOfMessage())
+    if left:
+        http.receive_data(left)
+    wire.http = http
+    return not is_closed
+
+
 async def close(wire: Wire) -> None:
     """Close the connection at once; an unfinished message stays without its end.
 
--- /dev/null
+++ b/src/ebonyvalve/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the users' platform and the product's types."""
--- /dev/null
+++ b/src/ebonyvalve/platform/__main__.py
@@ -0,0 +1,5 @@
+"""Starts the daemon on the users' platform."""
+
+from ebonyvalve.platform import daemon
+
+daemon.main()
--- /dev/null
+++ b/src/ebonyvalve/platform/configuration.py
@@ -0,0 +1,146 @@
+"""Decodes the operator's configuration of the platform into the product's objects."""
+
+import msgspec
+
+from ebonyvalve.process import identity
+from ebonyvalve.version import traffic
+
+ONCE = "non_idempotent"
+KINDS = {
+    "idempotent": traffic.Repeat.IDEMPOTENT,
+    "download": traffic.Repeat.IDEMPOTENT,
+    ONCE: traffic.Repeat.AT_MOST_ONCE,
+}
+
+
+class Part(msgspec.Struct, kw_only=True):
+    """One service of a split route."""
+
+    backend: str
+    weight: float
+
+
+class RouteSpec(msgspec.Struct, kw_only=True):
+    """A route. ``goal_s`` is the latency objective; ``type`` says what may be repeated."""
+
+    hostname: str
+    prefix: str
+    type: str
+    timeout_s: float
+    goal_s: float = 0.0
+    attempts: int = 1
+    priority: int = 0
+    backend: str = ""
+    split: list[Part] = []
+
+
+class ServiceSpec(msgspec.Struct, kw_only=True):
+    """A service. ``sharded`` says that its keys have one owner each."""
+
+    health_path: str = "/"
+    max_conns: int = 100
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
+    sharded: bool = False
+    warmup_s: float = 0.0
+
+
+class LimitsSpec(msgspec.Struct, kw_only=True):
+    """What callers may send."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 67_108_864
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+class Meta(msgspec.Struct, kw_only=True):
+    """The name of a resource."""
+
+    name: str = ""
+
+
+class Resource(msgspec.Struct, kw_only=True):
+    """One entry of the configuration; ``res_type`` says what its ``spec`` is."""
+
+    res_type: str
+    metadata: Meta = msgspec.field(default_factory=Meta)
+    spec: msgspec.Raw = msgspec.Raw(b"{}")
+
+
+class Document(msgspec.Struct, kw_only=True):
+    """The whole configuration. ``version`` is hexadecimal."""
+
+    version: str
+    resources: list[Resource]
+
+
+def decode(body: bytes) -> traffic.Traffic | list[str]:
+    """Return the configuration, or every reason for which it can't be applied.
+
+    :param body: the operator's document.
+    """
+    try:
+        document = msgspec.json.decode(body, type=Document)
+        version = identity.ConfigVersion(int(document.version, 16))
+    except (msgspec.DecodeError, ValueError) as exc:
+        return [f"configuration: {exc}"]
+    problems: list[str] = []
+    routes, services, limits = [], [], traffic.Limits()
+    for resource in document.resources:
+        name = resource.metadata.name
+        try:
+            if resource.res_type == "routes":
+                routes.append(_decode_route(name, resource.spec))
+            elif resource.res_type == "services":
+                services.append(_decode_service(name, resource.spec))
+            elif resource.res_type == "limits":
+                limits = _decode_limits(resource.spec)
+        except (msgspec.DecodeError, KeyError) as exc:
+            problems.append(f'{resource.res_type} "{name}": {exc}')
+    accepted = traffic.build(version=version, routes=routes, services=services, limits=limits)
+    return problems or traffic.check(accepted) or accepted
+
+
+def _decode_route(name: str, spec: msgspec.Raw) -> traffic.Route:
+    wire = msgspec.json.decode(spec, type=RouteSpec)
+    if wire.type not in KINDS:
+        raise msgspec.ValidationError(f'type "{wire.type}" is unknown')
+    parts = wire.split or [Part(backend=wire.backend, weight=1)]
+    return traffic.Route(
+        name=name,
+        host=wire.hostname.lower(),
+        prefix=wire.prefix,
+        shares=tuple(
+            traffic.Share(service=identity.ServiceId(part.backend), weight=part.weight)
+            for part in parts
+        ),
+        repeat=KINDS[wire.type],
+        timeout_s=wire.timeout_s,
+        objective_s=wire.goal_s or wire.timeout_s,
+        attempts=wire.attempts,
+        priority=wire.priority,
+    )
+
+
+def _decode_service(name: str, spec: msgspec.Raw) -> traffic.ServicePolicy:
+    wire = msgspec.json.decode(spec, type=ServiceSpec)
+    return traffic.ServicePolicy(
+        name=identity.ServiceId(name),
+        is_keyed=wire.sharded,
+        max_connections=wire.max_conns,
+        cold_s=wire.cold_s,
+        cold_rate=wire.cold_per_s,
+        warm_up_s=wire.warmup_s,
+        health_path=wire.health_path,
+    )
+
+
+def _decode_limits(spec: msgspec.Raw) -> traffic.Limits:
+    wire = msgspec.json.decode(spec, type=LimitsSpec)
+    return traffic.Limits(
+        max_head_bytes=wire.max_header_bytes,
+        max_body_bytes=wire.max_body_bytes,
+        head_timeout_s=wire.header_timeout_s,
+        idle_timeout_s=wire.idle_timeout_s,
+    )
--- /dev/null
+++ b/src/ebonyvalve/platform/daemon.py
@@ -0,0 +1,394 @@
+"""The daemon on the users' platform: wires the product's parts to the platform's interfaces."""
+
+import dataclasses
+import functools
+import logging
+import math
+import os
+import random
+import secrets
+import signal
+import socket
+import sys
+
+import trio
+
+from ebonyvalve import errors
+from ebonyvalve.connection import pool
+from ebonyvalve.platform import announcement, dialect, operator, settings, store
+from ebonyvalve.process import budget, decision, http, identity, network, timer
+from ebonyvalve.process import node as node_module
+from ebonyvalve.process import place as place_module
+from ebonyvalve.process.keyspace import grant, steward
+from ebonyvalve.process.load import gate
+from ebonyvalve.request import attempt, delivery, exchange, front, origin, outcome
+
+log = logging.getLogger(__name__)
+
+SETTINGS_VARIABLE = "EBONYVALVE_BOOT"
+# Two misses of one probe a second take a node out; requests may still come until then.
+LEAVE_S = 2.3
+# What is left of the grace for ending the process itself.
+EXIT_MARGIN_S = 0.5
+SWEEP_S = 0.25
+DRAIN_POLL_S = 0.02
+# Connections may go silent without a reset, and a VM without power answers nothing.
+KEEP_ALIVE_S = 1
+KEEP_ALIVE_PROBES = 2
+USER_TIMEOUT_MS = 3000
+BACKLOG = 512
+MOST_CONNECTIONS = 2000
+REPORT_BYTES = 65_536
+
+
+@dataclasses.dataclass(kw_only=True)
+class Daemon:
+    """Everything that the process runs."""
+
+    node: node_module.Node
+    steward: steward.Steward
+    origin: origin.Origin
+    callers: front.Front
+    peers: front.Front
+    timer: timer.Timer
+
+
+def main() -> None:
+    """Run the daemon until it is told to stop."""
+    decision.configure(decision.LogForm.KEY_VALUE, os.environ.get("EBONYVALVE_LOG", "INFO"))
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        with open(path, "rb") as file:
+            place = settings.decode(file.read())
+    except (OSError, errors.SettingsError) as exc:
+        decision.record(log, logging.CRITICAL, "start-failed", settings=path, cause=str(exc))
+        sys.exit(2)
+    trio.run(run, place)
+
+
+async def run(place: place_module.Place) -> None:
+    """Run the daemon.
+
+    :param place: from the settings.
+    """
+    daemon = build(place)
+    decision.record(log, logging.INFO, "start", node=place.node, service=place.service)
+    async with trio.open_nursery() as nursery:
+        for task in (
+            functools.partial(steward.follow_mesh, daemon.steward),
+            functools.partial(steward.announce, daemon.steward),
+            functools.partial(steward.keep_lease, daemon.steward),
+            functools.partial(steward.tend, daemon.steward),
+            functools.partial(operator.follow, daemon.node, daemon.steward.store),
+            functools.partial(delivery.run_queue, daemon.origin.delivery),
+            functools.partial(sweep, daemon),
+            functools.partial(timer.run, daemon.timer),
+        ):
+            nursery.start_soon(task)
+        nursery.start_soon(listen, place.reports_address, build_reports(daemon))
+        nursery.start_soon(listen, place.ready_address, build_ready(daemon))
+        nursery.start_soon(
+            listen, place.peers_address, functools.partial(front.serve, daemon.peers)
+        )
+        callers = await nursery.start(open_callers, daemon)
+        await wait_for_stop()
+        await stop(daemon, callers)
+        nursery.cancel_scope.cancel()
+    decision.record(log, logging.INFO, "stop", node=place.node)
+
+
+def build(place: place_module.Place) -> Daemon:
+    """Build all parts.
+
+    :param place: from the settings.
+    """
+    clock = timer.Timer(clock=timer.read_boot_clock)
+    now = functools.partial(timer.now, clock)
+    node = node_module.Node(
+        place=place,
+        incarnation=identity.Incarnation(secrets.token_hex(4)),
+        now=now,
+        draw=random.random,
+        gate=gate.Gate(slots=1, cold_rate=0.0),
+        grantor=grant.start(now=now(), most_hold_s=steward.find_hold(place.heartbeat_s)),
+        budget=budget.Budget(share=place.retries.ratio / 2),
+    )
+    client = store.Client(address=place.store_address, connect=connect, now=now)
+    keeper = steward.Steward(node=node, store=store.open_store(client))
+    local = delivery.Delivery(
+        node=node,
+        pool=pool.Pool(connect=connect, now=now),
+        dialect=dialect.open_dialect(),
+    )
+    entry = origin.Origin(
+        node=node, delivery=local, peers=pool.Pool(connect=connect, now=now, bound=512)
+    )
+    callers = front.Front(
+        now=now,
+        handle=functools.partial(handle_caller, entry),
+        find_limits=functools.partial(find_limits, node),
+        is_hop=False,
+        parse=dialect.build_parse(now),
+        max_connections=MOST_CONNECTIONS,
+    )
+    peers = front.Front(
+        now=now,
+        handle=functools.partial(handle_peer, entry),
+        find_limits=functools.partial(find_limits, node),
+        is_hop=True,
+        parse=dialect.build_parse(now),
+        max_connections=MOST_CONNECTIONS,
+    )
+    return Daemon(
+        node=node, steward=keeper, origin=entry, callers=callers, peers=peers, timer=clock
+    )
+
+
+async def handle_caller(
+    entry: origin.Origin, call: exchange.Call, caller: exchange.Caller
+) -> outcome.Outcome:
+    """Answer a request of a caller on this VM.
+
+    :param entry: the state.
+    :param call: the request.
+    :param caller: who gets the answer.
+    """
+    head = dialect.read_head(call)
+    return await origin.handle(entry, call, caller, head)
+
+
+async def handle_peer(
+    entry: origin.Origin, call: exchange.Call, caller: exchange.Caller
+) -> outcome.Outcome:
+    """Answer a request that another node has sent here.
+
+    :param entry: the state.
+    :param call: the request.
+    :param caller: the other node.
+    """
+    if not origin.undress_hop(call, call.headers, entry.node.now()):
+        refusal = outcome.refuse(outcome.Reason.BAD_REQUEST)
+        await origin.refuse(caller, refusal, 0.0)
+        return refusal
+    dialect.read_head(call)
+    return await origin.serve_hop(entry, call, caller)
+
+
+def find_limits(node: node_module.Node, _: identity.ServiceId) -> tuple[float, int]:
+    """Return the default deadline in seconds and the largest body in bytes.
+
+    :param node: the node.
+    """
+    if node.config is None:
+        return 60.0, 67_108_864
+    return 60.0, node.config.limits.max_body_bytes
+
+
+async def connect(address: str) -> trio.abc.Stream:
+    """Open a TCP connection on which a silent other end is noticed.
+
+    :param address: an IP number and a port.
+    :raises OSError: when the connection is refused.
+    """
+    sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        await sock.connect(network.split_address(address))
+    except BaseException:
+        sock.close()
+        raise
+    set_options(sock)
+    return trio.SocketStream(sock)
+
+
+def set_options(sock: trio.socket.SocketType) -> None:
+    """Let the kernel notice another end that has fallen silent.
+
+    :param sock: a connected socket.
+    """
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+async def listen(address: str, serve: network.Serve) -> None:
+    """Accept connections until cancelled.
+
+    :param address: where.
+    :param serve: runs for each connection.
+    """
+    host, port = network.split_address(address)
+    listeners = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
+    await trio.serve_listeners(build_serve(serve), listeners)
+
+
+async def open_callers(daemon: Daemon, task_status: trio.TaskStatus[trio.CancelScope]) -> None:
+    """Accept callers until the scope that is handed out is cancelled.
+
+    :param daemon: the daemon.
+    """
+    with trio.CancelScope() as scope:
+        task_status.started(scope)
+        await listen(
+            daemon.node.place.callers_address, functools.partial(front.serve, daemon.callers)
+        )
+    await trio.sleep(math.inf)
+
+
+def build_serve(serve: network.Serve) -> network.Serve:
+    """Return a function that serves a connection with the socket's options set.
+
+    :param serve: runs for each connection.
+    """
+
+    async def run_one(stream: trio.abc.Stream) -> None:
+        assert isinstance(stream, trio.SocketStream)
+        try:
+            set_options(stream.socket)
+        except OSError:
+            # The other end has closed already.
+            await trio.aclose_forcefully(stream)
+            return
+        await serve(stream)
+
+    return run_one
+
+
+def build_ready(daemon: Daemon) -> network.Serve:
+    """Return what tells the platform whether callers may come.
+
+    :param daemon: the daemon.
+    """
+
+    async def respond(request: http.Request) -> http.Reply:
+        is_fine = node_module.is_ready(daemon.node)
+        return http.Reply(status=200 if is_fine else 503, body=b"{}")
+
+    return functools.partial(http.serve, respond)
+
+
+def build_reports(daemon: Daemon) -> network.Serve:
+    """Return what takes the status reports of the target beside this node.
+
+    :param daemon: the daemon.
+    """
+
+    async def respond(request: http.Request) -> http.Reply:
+        name = request.path.partition("?")[0].removeprefix(announcement.PATH)
+        if request.method == "PUT":
+            return take_report(daemon, name, request.body)
+        if request.method == "DELETE":
+            return take_leave(daemon, name)
+        return http.Reply(status=404, body=b"{}")
+
+    return functools.partial(http.serve, respond, most_bytes=REPORT_BYTES)
+
+
+def take_report(daemon: Daemon, name: str, body: bytes) -> http.Reply:
+    """Take a status report and answer with what the target is to hold.
+
+    :param daemon: the daemon.
+    :param name: the target's id.
+    :param body: the report.
+    """
+    node = daemon.node
+    decoded = announcement.decode(name, body)
+    if isinstance(decoded, str):
+        decision.record(log, logging.WARNING, "report-unreadable", cause=decoded)
+        return http.Reply(status=400, body=b"{}")
+    if decoded.service != node.place.service or decoded.address != node.place.target_address:
+        decision.record(
+            log, logging.WARNING, "report-of-another", target=name, address=decoded.address
+        )
+        return http.Reply(status=409, body=b"{}")
+    known = node.target
+    if known is not None and not known.is_assumed and is_late(node, known, decoded):
+        decision.record(
+            log, logging.INFO, "report-late", target=name, sequence=decoded.report.sequence
+        )
+        return http.Reply(status=409, body=b"{}")
+    grant.take_report(node.grantor, decoded.report)
+    node_module.set_target(
+        node,
+        node_module.Target(
+            lifetime=decoded.report.lifetime,
+            born_ms=decoded.born_ms,
+            slots=decoded.slots,
+            state=decoded.state,
+            reported_at=node.now(),
+        ),
+        decoded.cold_left_s,
+    )
+    return http.Reply(status=200, body=announcement.encode(steward.answer_report(daemon.steward)))
+
+
+def is_late(
+    node: node_module.Node, known: node_module.Target, decoded: announcement.Announcement
+) -> bool:
+    """Return whether a report is older than what is known.
+
+    :param node: the node.
+    :param known: the target as known.
+    :param decoded: the report.
+    """
+    if decoded.report.lifetime == known.lifetime:
+        return decoded.report.sequence <= node.grantor.sequence
+    return decoded.born_ms < known.born_ms
+
+
+def take_leave(daemon: Daemon, name: str) -> http.Reply:
+    """Note that a target says that it is gone.
+
+    :param daemon: the daemon.
+    :param name: the target's id.
+    """
+    target = daemon.node.target
+    if target is not None and announcement.read_target(target.lifetime) == name:
+        node_module.set_gone(daemon.node, "has left", is_dead=False)
+    return http.Reply(status=200, body=b"{}")
+
+
+async def sweep(daemon: Daemon) -> None:
+    """Retire silent connections, until cancelled.
+
+    :param daemon: the daemon.
+    """
+    while True:
+        await trio.sleep(SWEEP_S)
+        await pool.sweep(daemon.origin.peers, p99_s=attempt.SLOW_ANSWER_S)
+        await pool.sweep(daemon.origin.delivery.pool, p99_s=attempt.SLOW_ANSWER_S)
+        if daemon.node.config is not None:
+            daemon.callers.idle_timeout_s = daemon.node.config.limits.idle_timeout_s
+
+
+async def wait_for_stop() -> None:
+    """Return when the platform asks the process to stop."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as received:
+        async for number in received:
+            if number != signal.SIGHUP:
+                decision.record(log, logging.INFO, "stopping", signal=int(number))
+                return
+            decision.record(log, logging.INFO, "settings-changed")
+
+
+async def stop(daemon: Daemon, callers: trio.CancelScope) -> None:
+    """Let callers go elsewhere and requests in flight end.
+
+    :param daemon: the daemon.
+    :param callers: stops accepting callers.
+    """
+    grace_s = daemon.node.place.grace_s - EXIT_MARGIN_S
+    daemon.node.is_stopping = True
+    with trio.move_on_after(grace_s):
+        await trio.sleep(LEAVE_S)
+        callers.cancel()
+        front.stop(daemon.callers)
+        polled = timer.subscribe(daemon.timer, period_s=DRAIN_POLL_S)
+        while daemon.callers.connections or daemon.node.gate.running:
+            await timer.tick(daemon.timer, polled)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/ebonyvalve/platform/dialect.py
@@ -0,0 +1,128 @@
+"""The platform's headers on requests and answers."""
+
+import collections.abc
+
+import h11
+
+from ebonyvalve.connection import wire
+from ebonyvalve.platform import announcement
+from ebonyvalve.process import identity
+from ebonyvalve.request import delivery, exchange, front, origin
+
+REQUEST_ID = b"x-attempt-id"
+# Milliseconds that the caller waits; a target stops work at what it receives.
+BUDGET_MS = b"x-deadline-ms"
+# Proves that an answer is the target's own.
+SEAL = b"x-response-seal"
+EXPECT_TARGET = b"x-expect-instance"
+NOT_RUN = b"x-not-executed"
+# The service of the VM on which the request began.
+CALLER = b"x-caller-service"
+KEY = b"x-shard-key"
+ENCODING = b"content-encoding"
+MISDIRECTED = 421
+# Set by the router on the way to a target, whatever a caller sent.
+OWN = {BUDGET_MS, EXPECT_TARGET, CALLER}
+
+
+def open_dialect() -> delivery.Dialect:
+    """Return how targets are spoken to."""
+    return delivery.Dialect(dress=dress, judge=judge, is_foreign=is_foreign)
+
+
+def dress(call: exchange.Call, lifetime: identity.Lifetime, budget_s: float) -> exchange.Headers:
+    """Return the headers that the router sets on a request to a target.
+
+    :param call: the request, with its rules.
+    :param lifetime: the target that is meant.
+    :param budget_s: seconds that are left for it.
+    """
+    rules = call.rules
+    assert rules is not None
+    return [
+        (BUDGET_MS, str(max(1, int(budget_s * 1000))).encode()),
+        (EXPECT_TARGET, announcement.read_target(lifetime).encode()),
+        (CALLER, rules.origin.encode()),
+    ]
+
+
+def judge(status: int, headers: exchange.Headers) -> delivery.Judgement:
+    """Say what an answer of the target is.
+
+    :param status: its status code.
+    :param headers: its headers, with names in lower case.
+    """
+    names = {name for name, _ in headers}
+    if status == MISDIRECTED:
+        return delivery.Judgement.MISPLACED
+    if NOT_RUN in names:
+        return delivery.Judgement.NOT_RUN
+    if ENCODING in names or (200 <= status < 300 and SEAL not in names):
+        return delivery.Judgement.SPOILED
+    return delivery.Judgement.ANSWER
+
+
+def is_foreign(headers: exchange.Headers, request_id: str) -> bool:
+    """Return whether an answer belongs to another request.
+
+    :param headers: its headers.
+    :param request_id: the request that was sent.
+    """
+    found = wire.find_header(headers, REQUEST_ID)
+    return found is not None and found != request_id.encode()
+
+
+def build_parse(
+    now: collections.abc.Callable[[], float],
+) -> collections.abc.Callable[[front.Front, h11.Request], exchange.Call | str]:
+    """Return the reader of requests' heads.
+
+    :param now: returns the time in seconds.
+    """
+
+    def parse(_: front.Front, head: h11.Request) -> exchange.Call | str:
+        headers = list(head.headers)
+        request_id = wire.find_header(headers, REQUEST_ID) or b""
+        return exchange.Call(
+            request_id=request_id.decode("latin-1"),
+            service=identity.ServiceId(""),
+            key=identity.KeyId(""),
+            method=head.method.decode("ascii"),
+            path=head.target.decode("latin-1"),
+            headers=headers,
+            length=front.find_length(headers),
+            deadline_at_s=now() + 60.0,
+            is_hop=False,
+        )
+
+    return parse
+
+
+def read_head(call: exchange.Call) -> origin.Head:
+    """Return what the router needs of a request's head, and remove what it sets itself.
+
+    :param call: the request; its headers are replaced.
+    """
+    host = wire.find_header(call.headers, b"host") or b""
+    budget = wire.find_header(call.headers, BUDGET_MS)
+    slot = wire.find_header(call.headers, KEY)
+    call.headers = [
+        pair
+        for pair in call.headers
+        if pair[0] not in OWN and not pair[0].startswith(origin.PREFIX)
+    ]
+    is_slot = slot is not None and slot.isdigit() and int(slot) <= identity.LAST_SLOT
+    return origin.Head(
+        request_id=call.request_id,
+        host=host.decode("latin-1").partition(":")[0].lower(),
+        budget_s=_read_ms(budget),
+        slot=int(slot) if slot is not None and is_slot else None,
+    )
+
+
+def _read_ms(value: bytes | None) -> float | None:
+    try:
+        return None if value is None else max(0.0, float(value)) / 1000
+    except ValueError:
+        # A budget that can't be read bounds nothing; the route's time-out still does.
+        return None
--- /dev/null
+++ b/src/ebonyvalve/platform/operator.py
@@ -0,0 +1,84 @@
+"""Follows what the operator writes into the store: the configuration and evacuated zones."""
+
+import logging
+
+import trio
+
+from ebonyvalve.platform import configuration
+from ebonyvalve.process import decision, identity
+from ebonyvalve.process import node as node_module
+from ebonyvalve.process.store import table
+
+log = logging.getLogger(__name__)
+
+OPERATOR = table.TableName("op")
+CONFIG = "config"
+EVACUATE = "evacuate/"
+FOLLOW_S = 10.0
+RETRY_S = 0.25
+
+
+async def follow(node: node_module.Node, store: table.Store) -> None:
+    """Apply the operator's rows as they change, until cancelled.
+
+    :param node: the node.
+    :param store: the platform's store.
+    """
+    version = 0
+    while True:
+        is_whole = not node.is_operator_known
+        if is_whole:
+            read = await store.read(OPERATOR)
+        else:
+            read = await store.follow(OPERATOR, version, FOLLOW_S)
+        if isinstance(read, table.Rows):
+            apply(node, read, is_whole=is_whole)
+            version = max(version, read.version)
+            node.is_operator_known = node.config is not None
+            if is_whole and not node.is_operator_known:
+                await trio.sleep(RETRY_S)
+        elif read is table.Trouble.HISTORY_GONE:
+            node.is_operator_known = False
+        else:
+            await trio.sleep(RETRY_S * (1 + node.draw()))
+
+
+def apply(node: node_module.Node, read: table.Rows, *, is_whole: bool) -> None:
+    """Apply rows of the operator.
+
+    :param node: the node.
+    :param read: the rows.
+    :param is_whole: whether they are all there are.
+    """
+    zones = set() if is_whole else set(node.evacuated)
+    for row in read.rows:
+        if row.name.key == CONFIG and not row.is_removed:
+            _apply_config(node, row)
+        elif row.name.key.startswith(EVACUATE):
+            zone = identity.ZoneId(row.name.key.removeprefix(EVACUATE))
+            if row.is_removed:
+                zones.discard(zone)
+            else:
+                zones.add(zone)
+    if zones != node.evacuated:
+        decision.record(log, logging.INFO, "evacuation", zones=",".join(sorted(zones)))
+        node_module.set_evacuated(node, frozenset(zones))
+    node_module.pulse(node)
+
+
+def _apply_config(node: node_module.Node, row: table.Row) -> None:
+    decoded = configuration.decode(row.value)
+    if isinstance(decoded, list):
+        decision.record(log, logging.ERROR, "configuration-refused", reasons="; ".join(decoded))
+        return
+    if node.config is not None and decoded.version <= node.config.version:
+        return
+    decision.record(
+        log,
+        logging.INFO,
+        "configuration",
+        version=decoded.version,
+        before=node.config.version if node.config is not None else None,
+        routes=len(decoded.routes),
+    )
+    node_module.set_traffic(node, decoded)
--- /dev/null
+++ b/src/ebonyvalve/platform/store.py
@@ -0,0 +1,257 @@
+"""The client of the platform's metadata store: HTTP/1.1 with JSON bodies on kept connections."""
+
+import base64
+import collections.abc
+import dataclasses
+import logging
+import urllib.parse
+
+import h11
+import msgspec
+import trio
+
+from ebonyvalve.process import decision, http, network
+from ebonyvalve.process.keyspace import lease
+from ebonyvalve.process.store import table
+
+log = logging.getLogger(__name__)
+
+# A call takes 4 ms, and 50 times as long when the store is slow.
+CALL_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 0.5
+FOLLOW_SLACK_S = 1.5
+PAGE_ROWS = 500
+OK = 200
+CONFLICT = 412
+GONE = 410
+# With these the store says that nothing was done.
+REFUSED = (429, 503, 403, 507)
+
+
+class WireRow(msgspec.Struct, kw_only=True):
+    """A row as the store spells it. ``value`` is base64."""
+
+    table: str = ""
+    part: str = ""
+    key: str = ""
+    value: str = ""
+    ver: int = 0
+    removed: bool = False
+
+
+class WireRows(msgspec.Struct, kw_only=True):
+    """An answer about rows. ``now_s`` is the store's steady clock in seconds."""
+
+    rows: list[WireRow] = []
+    ver: int = 0
+    now_s: float | None = None
+    has_more: bool = False
+
+
+@dataclasses.dataclass(kw_only=True)
+class Client:
+    """Kept connections to the store, one for each call under way."""
+
+    address: str
+    connect: network.Connect
+    now: collections.abc.Callable[[], float]
+    idle: list[tuple[trio.abc.Stream, h11.Connection]] = dataclasses.field(default_factory=list)
+    is_reachable: bool = True
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Answer:
+    """One answer with the times around it, in seconds on the node's clock."""
+
+    status: int
+    body: bytes
+    asked_at: float
+    answered_at: float
+
+
+def open_store(client: Client) -> table.Store:
+    """Return the calls of the table.
+
+    :param client: the connections.
+    """
+
+    async def read(name: table.TableName) -> table.Rows | table.Trouble:
+        return await _read_all(client, name)
+
+    async def follow(
+        name: table.TableName, after: int, wait_s: float
+    ) -> table.Rows | table.Trouble:
+        query = urllib.parse.urlencode(
+            {"table": name, "after": after, "wait_ms": round(wait_s * 1000)}
+        )
+        answer = await _call(
+            client, "GET", f"/rows-feed?{query}", timeout_s=wait_s + FOLLOW_SLACK_S
+        )
+        return answer if isinstance(answer, table.Trouble) else _decode_rows(answer)
+
+    async def commit(
+        expected: dict[table.Name, int], writes: dict[table.Name, bytes | None]
+    ) -> table.Committed | table.Conflict | table.Trouble:
+        return await _commit(client, expected, writes)
+
+    return table.Store(read=read, follow=follow, commit=commit)
+
+
+async def _read_all(client: Client, name: table.TableName) -> table.Rows | table.Trouble:
+    rows: list[table.Row] = []
+    start = ""
+    while True:
+        query = {"table": name, "part": "", "limit": PAGE_ROWS}
+        if start:
+            query["from"] = start
+        answer = await _call(client, "GET", f"/rows-get?{urllib.parse.urlencode(query)}")
+        if isinstance(answer, table.Trouble):
+            return answer
+        page = _decode_rows(answer)
+        if isinstance(page, table.Trouble):
+            return page
+        rows.extend(page.rows)
+        if not _has_more(answer) or not page.rows:
+            return dataclasses.replace(page, rows=tuple(rows))
+        # The smallest key above the last one.
+        start = page.rows[-1].name.key + "\0"
+
+
+async def _commit(
+    client: Client,
+    expected: dict[table.Name, int],
+    writes: dict[table.Name, bytes | None],
+) -> table.Committed | table.Conflict | table.Trouble:
+    names = {*expected, *writes}
+    body: dict[str, object] = {
+        "precondition": [{**_spell(name), "ver": version} for name, version in expected.items()],
+        "puts": [
+            {**_spell(name), "value": base64.b64encode(value).decode()}
+            for name, value in writes.items()
+            if value is not None
+        ],
+        "remove": [_spell(name) for name, value in writes.items() if value is None],
+    }
+    if len({name.part for name in names}) > 1:
+        body["across"] = True
+    answer = await _call(client, "POST", "/rows-tx", msgspec.json.encode(body))
+    if isinstance(answer, table.Trouble):
+        return answer
+    decoded = _decode_rows(answer)
+    if isinstance(decoded, table.Trouble):
+        return decoded
+    if answer.status == CONFLICT:
+        return table.Conflict(rows=decoded.rows)
+    return table.Committed(version=decoded.version, clock=decoded.clock)
+
+
+def _spell(name: table.Name) -> dict[str, str]:
+    return {"table": name.table, "part": name.part, "key": name.key}
+
+
+def _has_more(answer: Answer) -> bool:
+    return msgspec.json.decode(answer.body, type=WireRows).has_more
+
+
+def _decode_rows(answer: Answer) -> table.Rows | table.Trouble:
+    if answer.status == GONE:
+        return table.Trouble.HISTORY_GONE
+    try:
+        wire = msgspec.json.decode(answer.body, type=WireRows)
+        rows = tuple(_decode_row(row) for row in wire.rows)
+    except (msgspec.DecodeError, ValueError) as exc:
+        decision.record(log, logging.ERROR, "store-answer-unreadable", cause=str(exc))
+        return table.Trouble.UNKNOWN
+    clock = None
+    if wire.now_s is not None:
+        clock = lease.StoreClock(
+            asked_at=answer.asked_at, answered_at=answer.answered_at, read_s=wire.now_s
+        )
+    return table.Rows(rows=rows, version=wire.ver, clock=clock)
+
+
+def _decode_row(row: WireRow) -> table.Row:
+    name = table.Name(table=table.TableName(row.table), part=row.part, key=row.key)
+    return table.Row(
+        name=name,
+        value=base64.b64decode(row.value),
+        version=row.ver,
+        is_removed=row.removed,
+    )
+
+
+async def _call(
+    client: Client,
+    method: str,
+    target: str,
+    body: bytes = b"",
+    *,
+    timeout_s: float = CALL_TIMEOUT_S,
+) -> Answer | table.Trouble:
+    asked_at = client.now()
+    trouble = table.Trouble.UNKNOWN
+    with trio.move_on_after(timeout_s):
+        opened = client.idle.pop() if client.idle else await _connect(client)
+        if isinstance(opened, table.Trouble):
+            return _note(client, opened)
+        done = False
+        try:
+            reply = await _exchange(client, opened, method, target, body)
+            if reply is not None:
+                done = True
+                status, content = reply
+                if status in REFUSED:
+                    return _note(client, table.Trouble.UNAVAILABLE)
+                _note(client, None)
+                return Answer(
+                    status=status, body=content, asked_at=asked_at, answered_at=client.now()
+                )
+        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError, OSError):
+            trouble = table.Trouble.UNKNOWN
+        finally:
+            if done and opened[1].our_state is h11.DONE and opened[1].their_state is h11.DONE:
+                opened[1].start_next_cycle()
+                client.idle.append(opened)
+            else:
+                with trio.CancelScope(shield=True):
+                    await trio.aclose_forcefully(opened[0])
+    return _note(client, trouble)
+
+
+async def _connect(
+    client: Client,
+) -> tuple[trio.abc.Stream, h11.Connection] | table.Trouble:
+    with trio.move_on_after(CONNECT_TIMEOUT_S):
+        try:
+            return await client.connect(client.address), h11.Connection(h11.CLIENT)
+        except (OSError, trio.BrokenResourceError):
+            return table.Trouble.UNAVAILABLE
+    return table.Trouble.UNAVAILABLE
+
+
+async def _exchange(
+    client: Client,
+    opened: tuple[trio.abc.Stream, h11.Connection],
+    method: str,
+    target: str,
+    body: bytes,
+) -> tuple[int, bytes] | None:
+    stream, protocol = opened
+    headers = [("host", client.address), ("content-length", str(len(body)))]
+    if body:
+        headers.append(("content-type", "application/json"))
+    head = h11.Request(method=method, target=target, headers=headers)
+    await http.send_message(stream, protocol, head, body)
+    reply, content = await http.receive_message(stream, protocol)
+    return (reply.status_code, content) if isinstance(reply, h11.Response) else None
+
+
+def _note(client: Client, trouble: table.Trouble | None) -> table.Trouble:
+    """Log the loss and the return of the store, once each."""
+    if client.is_reachable != (trouble is None):
+        client.is_reachable = trouble is None
+        event = "store-regained" if client.is_reachable else "store-lost"
+        level = logging.INFO if client.is_reachable else logging.WARNING
+        cause = "" if trouble is None else trouble.value
+        decision.record(log, level, event, address=client.address, cause=cause)
+    return trouble or table.Trouble.UNKNOWN
--- a/src/ebonyvalve/process/identity.py
+++ b/src/ebonyvalve/process/identity.py
@@ -17,6 +17,11 @@
 Incarnation = typing.NewType("Incarnation", str)
 Address = typing.NewType("Address", str)
 Fingerprint = typing.NewType("Fingerprint", str)
+# One start of a target. A target that starts again under its old name is another lifetime.
+Lifetime = typing.NewType("Lifetime", str)
+# Keys are numbers from 0 to LAST_SLOT where targets hold ranges of them.
+KeySlot = typing.NewType("KeySlot", int)
+LAST_SLOT = KeySlot(65_535)
 
 KEY_MARK = "key:"
 
--- /dev/null
+++ b/src/ebonyvalve/process/keyspace/__init__.py
@@ -0,0 +1,1 @@
+"""Ownership of key ranges by fenced grants."""
--- /dev/null
+++ b/src/ebonyvalve/process/keyspace/lease.py
@@ -0,0 +1,86 @@
+"""How long a node may renew its target's keys, counted on the store's clock.
+
+A node writes the store time until which it renews. Others may take its keys once the store's own
+clock has passed that time, in a transaction that requires the row to be unchanged. So no two
+nodes' clocks are ever compared.
+"""
+
+import dataclasses
+
+import msgspec
+
+# A node survives a store that is away for LEASE_S - RENEW_S seconds. Outages of 9 s are usual.
+LEASE_S = 12.0
+RENEW_S = 2.5
+# Quartz clocks differ by far less than 0.1%; the users' targets by up to 2%.
+NODE_DRIFT = 0.001
+TARGET_DRIFT = 0.02
+# Covers the way of an answer within one machine and rounding.
+MARGIN_S = 0.05
+
+
+class LeaseRow(msgspec.Struct, kw_only=True, frozen=True):
+    """A node's promise not to renew its target's keys after a time of the store's clock."""
+
+    until_s: float
+    incarnation: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StoreClock:
+    """One reading of the store's clock, between two times of the node's clock, in seconds."""
+
+    asked_at: float
+    answered_at: float
+    read_s: float
+
+
+def read_latest(clock: StoreClock, now: float) -> float:
+    """Return the latest time that the store's clock may show.
+
+    :param clock: a reading.
+    :param now: seconds on the node's clock.
+    """
+    return clock.read_s + (now - clock.asked_at) * (1 + NODE_DRIFT)
+
+
+def read_earliest(clock: StoreClock, now: float) -> float:
+    """Return the earliest time that the store's clock may show.
+
+    :param clock: a reading.
+    :param now: seconds on the node's clock.
+    """
+    return clock.read_s + (now - clock.answered_at) * (1 - NODE_DRIFT)
+
+
+def find_hold(row: LeaseRow | None, clock: StoreClock | None, now: float, most_s: float) -> float:
+    """Return for how many seconds of its own clock a target may hold its keys; 0 for not at all.
+
+    :param row: the node's lease as the store has it.
+    :param clock: a reading of the store's clock.
+    :param now: seconds on the node's clock.
+    :param most_s: the longest hold.
+    """
+    if row is None or clock is None:
+        return 0.0
+    left_s = row.until_s - read_latest(clock, now) - MARGIN_S
+    return max(0.0, min(most_s, left_s / (1 + TARGET_DRIFT)))
+
+
+def find_end(now: float, hold_s: float) -> float:
+    """Return when a hold given now has certainly ended, on the node's clock.
+
+    :param now: seconds on the node's clock when the answer was written.
+    :param hold_s: the hold in seconds of the target's clock.
+    """
+    return now + hold_s * (1 + TARGET_DRIFT) + MARGIN_S
+
+
+def is_over(row: LeaseRow, clock: StoreClock, now: float) -> bool:
+    """Return whether a lease of another node has certainly ended.
+
+    :param row: the other node's lease.
+    :param clock: a reading of the store's clock.
+    :param now: seconds on this node's clock.
+    """
+    return read_earliest(clock, now) > row.until_s
--- /dev/null
+++ b/src/ebonyvalve/process/keyspace/plan.py
@@ -0,0 +1,92 @@
+"""What a node does next about the keys of its own service: one conditional write at a time."""
+
+import collections.abc
+import dataclasses
+
+from ebonyvalve.process import identity
+from ebonyvalve.process.keyspace import ledger
+
+# A target that joins gets its part only if that is worth a move.
+LEAST_PART = 64
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Situation:
+    """What a node knows when it looks at the ledger.
+
+    ``present`` is the lifetime of the node's own target, or nobody while it has none.
+    ``is_lost`` says that a lifetime of this node's target can't hold keys any more.
+    ``over`` are nodes whose leases have certainly ended, ``is_leaving`` whether the own target
+    must give up its keys, and ``released`` what it has let go.
+    """
+
+    node: identity.NodeId
+    present: identity.Lifetime
+    candidates: tuple[ledger.Candidate, ...]
+    released: dict[int, str]
+    over: frozenset[identity.NodeId]
+    is_leaving: bool
+    is_leader: bool
+    is_lost: collections.abc.Callable[[identity.Lifetime], bool]
+
+
+def propose(book: ledger.Ledger, situation: Situation) -> ledger.Ledger:
+    """Return the ledger that should be written; the same one if there is nothing to do.
+
+    :param book: the committed ledger.
+    :param situation: what the node knows.
+    """
+    names = {one.lifetime for one in situation.candidates if one.weight > 0}
+    proposed = ledger.vacate(
+        book,
+        lambda span: (span.node == situation.node and situation.is_lost(_name(span.holder)))
+        or span.node in situation.over,
+    )
+    proposed = ledger.pass_on(
+        proposed,
+        {
+            span.first: situation.released[span.first]
+            for span in proposed.spans
+            if span.first in situation.released and span.heir in names
+        },
+    )
+    proposed = ledger.cancel_moves(
+        proposed,
+        lambda span: span.heir not in names
+        and (span.node == situation.node or situation.is_leader),
+    )
+    if situation.is_leaving:
+        proposed = ledger.order_exit(proposed, situation.present, situation.candidates)
+    is_written_anyway = proposed != book
+    if situation.is_leader or is_written_anyway:
+        proposed = ledger.assign_vacant(proposed, situation.candidates)
+    if not situation.is_leaving:
+        proposed = _share_with_newcomer(proposed, situation)
+    return proposed
+
+
+def _name(holder: str) -> identity.Lifetime:
+    return identity.Lifetime(holder)
+
+
+def _share_with_newcomer(book: ledger.Ledger, situation: Situation) -> ledger.Ledger:
+    """Give part of the own keys to a target that holds none, if the own part is the largest."""
+    sizes = {one.lifetime: 0 for one in situation.candidates if one.weight > 0}
+    for span in book.spans:
+        for owner in {span.holder, span.heir}:
+            if owner in sizes:
+                sizes[identity.Lifetime(owner)] += span.last - span.first + 1
+    if situation.present not in sizes or any(span.heir for span in book.spans):
+        return book
+    empty = [one for one in situation.candidates if sizes.get(one.lifetime) == 0]
+    largest = max(sizes, key=lambda name: (sizes[name], name))
+    if not empty or largest != situation.present:
+        return book
+    fair = (identity.LAST_SLOT + 1) // len(sizes)
+    wanted = min(fair, sizes[largest] // 2)
+    own = max(ledger.list_held(book, situation.present), key=lambda span: span.last - span.first)
+    part = min(wanted, (own.last - own.first + 1) // 2)
+    if part < LEAST_PART:
+        return book
+    heir = min(empty, key=lambda one: one.lifetime)
+    return ledger.order_move(book, own.last - part + 1, own.last, heir)
--- /dev/null
+++ b/src/ebonyvalve/process/load/__init__.py
@@ -0,0 +1,1 @@
+"""What targets bear: admission, choice of a target and warmth."""
--- /dev/null
+++ b/src/ebonyvalve/process/load/choice.py
@@ -0,0 +1,105 @@
+"""Choice among the targets of a service without keys, by the expected time to an answer."""
+
+import collections.abc
+import dataclasses
+
+from ebonyvalve.process import identity
+
+FIRST_WORK_S = 0.1
+# Nodes that see the same loads would all take the same target; a tenth of spread parts them.
+SPREAD = 0.2
+# A target that lost a request is passed by for this long, doubled each time up to the most.
+FIRST_AVOID_S = 0.3
+MOST_AVOID_S = 2.0
+# Old loads say little: work that was reported is over after about this many work times.
+STALE_WORKS = 4.0
+# What another zone must save in waiting, as bytes between zones cost and take longer.
+OTHER_ZONE_S = 0.02
+
+
+@dataclasses.dataclass(kw_only=True)
+class View:
+    """What this node knows of another node's target, from its answers. Times are seconds."""
+
+    slots: int
+    busy: int = 0
+    work_s: float = FIRST_WORK_S
+    reported_at: float = float("-inf")
+    outstanding: int = 0
+    failures: int = 0
+    avoid_until: float = float("-inf")
+
+
+def note_load(view: View, *, busy: int, slots: int, work_s: float, now: float) -> None:
+    """Note the load that came with an answer.
+
+    :param view: the state.
+    :param busy: requests that run or wait.
+    :param slots: requests that the target runs at once.
+    :param work_s: its usual work time in seconds.
+    :param now: seconds on the node's clock.
+    """
+    view.busy, view.slots, view.work_s, view.reported_at = busy, max(1, slots), work_s, now
+    view.failures = 0
+    view.avoid_until = float("-inf")
+
+
+def note_failure(view: View, now: float) -> None:
+    """Note that the target or its node could not be reached, or lost a request.
+
+    :param view: the state.
+    :param now: seconds on the node's clock.
+    """
+    view.avoid_until = now + min(MOST_AVOID_S, FIRST_AVOID_S * 2**view.failures)
+    view.failures += 1
+
+
+def note_refusal(view: View, retry_after_s: float, now: float) -> None:
+    """Note that the target has no room for a while.
+
+    :param view: the state.
+    :param retry_after_s: when there may be room.
+    :param now: seconds on the node's clock.
+    """
+    view.avoid_until = max(view.avoid_until, now + min(retry_after_s, FIRST_AVOID_S))
+
+
+def estimate(view: View, now: float, *, is_near: bool) -> float:
+    """Return the expected seconds to an answer.
+
+    :param view: the state.
+    :param now: seconds on the node's clock.
+    :param is_near: whether the target is in the own zone.
+    """
+    age = (now - view.reported_at) / (STALE_WORKS * view.work_s)
+    busy = max(view.busy * max(0.0, 1.0 - age), view.outstanding)
+    over = max(0.0, busy + 1 - view.slots)
+    wait_s = over * view.work_s / view.slots
+    # Targets slow down a little as they fill, so that among free ones the emptier is better.
+    fullness = min(1.0, busy / view.slots)
+    return wait_s + view.work_s * (1.0 + 0.3 * fullness) + (0.0 if is_near else OTHER_ZONE_S)
+
+
+def choose(
+    views: collections.abc.Mapping[identity.NodeId, View],
+    near: collections.abc.Container[identity.NodeId],
+    now: float,
+    draw: collections.abc.Callable[[], float],
+) -> identity.NodeId | None:
+    """Return the target to send a request to, or ``None`` if there is none.
+
+    Targets that are being avoided are taken only when all are.
+
+    :param views: the targets that may take it.
+    :param near: those in the own zone.
+    :param now: seconds on the node's clock.
+    :param draw: returns random numbers from 0 to 1.
+    """
+    open_ = [name for name in views if views[name].avoid_until <= now] or list(views)
+    if not open_:
+        return None
+    return min(
+        open_,
+        key=lambda name: estimate(views[name], now, is_near=name in near)
+        * (1.0 + SPREAD * (draw() - 0.5)),
+    )
--- /dev/null
+++ b/src/ebonyvalve/process/node.py
@@ -0,0 +1,249 @@
+"""The state of one node: what it believes, and what it has told its target."""
+
+import collections.abc
+import dataclasses
+import logging
+
+import trio
+
+from ebonyvalve.process import budget, decision, identity, member, place
+from ebonyvalve.process.keyspace import grant, lease, ledger
+from ebonyvalve.process.load import choice, gate
+from ebonyvalve.version import traffic
+
+log = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Target:
+    """The target beside this node, as it announced itself. Times are seconds.
+
+    ``is_assumed`` says that the node has read of it in the table but has had no report yet.
+    ``is_dead`` says that its process has ended; one that is gone may still run and hold keys.
+    """
+
+    lifetime: identity.Lifetime
+    born_ms: int
+    slots: int
+    state: member.TargetState
+    reported_at: float
+    is_assumed: bool = False
+    is_dead: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Book:
+    """The ledger of a service with the version of its row."""
+
+    ledger: ledger.Ledger
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OtherLease:
+    """The lease of a node with the version of its row."""
+
+    row: lease.LeaseRow
+    version: int
+
+
+@dataclasses.dataclass(kw_only=True)
+class Node:
+    """Everything that lives as long as the process.
+
+    ``closed_at`` is when the target last stopped taking new work. ``changed`` is replaced and set
+    whenever something changes that others wait for.
+    """
+
+    place: place.Place
+    incarnation: identity.Incarnation
+    now: collections.abc.Callable[[], float]
+    draw: collections.abc.Callable[[], float]
+    gate: gate.Gate
+    grantor: grant.Grantor
+    budget: budget.Budget
+    config: traffic.Traffic | None = None
+    evacuated: frozenset[identity.ZoneId] = frozenset()
+    members: dict[identity.NodeId, member.Member] = dataclasses.field(default_factory=dict)
+    books: dict[identity.ServiceId, Book] = dataclasses.field(default_factory=dict)
+    views: dict[identity.NodeId, choice.View] = dataclasses.field(default_factory=dict)
+    leases: dict[identity.NodeId, OtherLease] = dataclasses.field(default_factory=dict)
+    clock: lease.StoreClock | None = None
+    target: Target | None = None
+    is_mesh_known: bool = False
+    is_operator_known: bool = False
+    is_stopping: bool = False
+    closed_at: float = float("-inf")
+    was_open: bool = False
+    changed: trio.Event = dataclasses.field(default_factory=trio.Event)
+
+
+def pulse(node: Node) -> None:
+    """Wake everything that waits for a change of the node's state.
+
+    :param node: the node.
+    """
+    is_open_now = is_open(node)
+    if node.was_open and not is_open_now:
+        node.closed_at = node.now()
+    node.was_open = is_open_now
+    node.changed.set()
+    node.changed = trio.Event()
+
+
+def is_ready(node: Node) -> bool:
+    """Return whether callers may send requests here.
+
+    :param node: the node.
+    """
+    return node.config is not None and node.is_mesh_known and not node.is_stopping
+
+
+def find_policy(node: Node, service: identity.ServiceId) -> traffic.ServicePolicy | None:
+    """Return the policy of a service, or ``None`` if the configuration lacks it.
+
+    :param node: the node.
+    :param service: the service.
+    """
+    return None if node.config is None else node.config.services.get(service)
+
+
+def is_keyed(node: Node) -> bool:
+    """Return whether the target beside this node holds keys.
+
+    :param node: the node.
+    """
+    policy = find_policy(node, node.place.service)
+    return policy is not None and policy.is_keyed
+
+
+def is_open(node: Node) -> bool:
+    """Return whether the target beside this node takes new work.
+
+    :param node: the node.
+    """
+    target = node.target
+    return (
+        target is not None
+        and target.state is member.TargetState.READY
+        and node.place.zone not in node.evacuated
+    )
+
+
+def read_view(node: Node, name: identity.NodeId) -> choice.View:
+    """Return what is known of another node's target.
+
+    :param node: the node.
+    :param name: the other node.
+    """
+    view = node.views.get(name)
+    if view is None:
+        known = node.members.get(name)
+        view = node.views[name] = choice.View(slots=known.slots if known else 1)
+    return view
+
+
+def list_open_members(node: Node, service: identity.ServiceId) -> list[member.Member]:
+    """Return the members whose targets take new work of a service.
+
+    :param node: the node.
+    :param service: the service.
+    """
+    return [
+        one
+        for one in node.members.values()
+        if one.service == service
+        and one.state is member.TargetState.READY
+        and one.zone not in node.evacuated
+    ]
+
+
+def describe(node: Node) -> member.Member | None:
+    """Return how this node announces itself, or ``None`` before its target has reported.
+
+    :param node: the node.
+    """
+    target = node.target
+    if target is None or target.is_assumed:
+        return None
+    return member.Member(
+        node=node.place.node,
+        address=node.place.peers_address,
+        zone=node.place.zone,
+        service=node.place.service,
+        lifetime=target.lifetime,
+        slots=target.slots,
+        state=target.state,
+    )
+
+
+def set_target(node: Node, target: Target, cold_left_s: float) -> None:
+    """Note what the target says of itself.
+
+    :param node: the node.
+    :param target: the target, as of a report that is newer than the last.
+    :param cold_left_s: for how many seconds it is cold.
+    """
+    before = node.target
+    if before is None or before.lifetime != target.lifetime:
+        policy = find_policy(node, node.place.service)
+        rate = policy.cold_rate if policy is not None else 0.0
+        node.gate.cold_rate = rate
+        node.gate.work_s = gate.FIRST_WORK_S
+        decision.record(log, logging.INFO, "target-started", target=target.lifetime)
+    elif before.state is not target.state:
+        decision.record(
+            log, logging.INFO, "target-state", target=target.lifetime, state=target.state
+        )
+    node.target = target
+    node.gate.slots = target.slots
+    gate.note_cold(node.gate, node.now() + cold_left_s)
+    pulse(node)
+
+
+def set_gone(node: Node, reason: str, *, is_dead: bool) -> None:
+    """Note that the target is gone.
+
+    :param node: the node.
+    :param reason: how that is known.
+    :param is_dead: whether its process has ended, so that it holds no keys any more.
+    """
+    target = node.target
+    if target is None or (target.state is member.TargetState.GONE and target.is_dead >= is_dead):
+        return
+    node.target = dataclasses.replace(
+        target, state=member.TargetState.GONE, is_assumed=False, is_dead=is_dead
+    )
+    decision.record(
+        log, logging.INFO, "target-gone", target=target.lifetime, reason=reason, is_dead=is_dead
+    )
+    pulse(node)
+
+
+def set_traffic(node: Node, accepted: traffic.Traffic) -> None:
+    """Apply a configuration.
+
+    :param node: the node.
+    :param accepted: a checked configuration that is newer than the present one.
+    """
+    node.config = accepted
+    policy = find_policy(node, node.place.service)
+    if policy is not None:
+        node.gate.cold_rate = policy.cold_rate
+    pulse(node)
+
+
+def set_evacuated(node: Node, zones: frozenset[identity.ZoneId]) -> None:
+    """Note the zones whose targets are to get nothing.
+
+    The targets of a zone that is taken back are cold until one of their reports says otherwise.
+
+    :param node: the node.
+    :param zones: all of them.
+    """
+    own = node.place.zone
+    policy = find_policy(node, node.place.service)
+    if own in node.evacuated and own not in zones and policy is not None:
+        gate.note_cold(node.gate, node.now() + policy.cold_s)
+    node.evacuated = zones
+    pulse(node)
--- /dev/null
+++ b/src/ebonyvalve/process/store/__init__.py
@@ -0,0 +1,1 @@
+"""The table that outlives every process."""
--- a/src/ebonyvalve/request/attempt.py
+++ b/src/ebonyvalve/request/attempt.py
@@ -10,6 +10,10 @@
 from ebonyvalve.process import identity
 from ebonyvalve.request import dispatch, exchange, outcome
 
+# Answers of targets that work for 100 to 200 ms and wait in queues; probes of the kernel find
+# silent connections sooner than missing answers do.
+SLOW_ANSWER_S = 0.75
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Way:
@@ -25,6 +29,7 @@
     p99_s: float | None = None
     max_idle_s: float | None = None
     awaits_continue: bool = False
+    is_foreign: dispatch.IsForeign | None = None
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -79,6 +84,7 @@
                     attempt=ended.attempt,
                     now=now,
                     awaits_continue=way.awaits_continue,
+                    is_foreign=way.is_foreign,
                 )
         finally:
             ended.is_silent = slot.is_silent
--- /dev/null
+++ b/src/ebonyvalve/request/delivery.py
@@ -0,0 +1,265 @@
+"""A request at the target beside this node: admission, one attempt, and what the answer means."""
+
+import collections.abc
+import dataclasses
+import enum
+import logging
+
+from returns import result
+import trio
+
+from ebonyvalve.connection import pool
+from ebonyvalve.process import identity
+from ebonyvalve.process import node as node_module
+from ebonyvalve.process.keyspace import grant, ledger
+from ebonyvalve.process.load import gate
+from ebonyvalve.request import attempt, dispatch, exchange, outcome
+
+log = logging.getLogger(__name__)
+
+# A report that renews the grant comes with each heartbeat.
+GRANT_RETRY_S = 0.2
+# A leaving target may get new work for 2 s; this leaves room for what is on its way.
+HANDOVER_S = 1.6
+# A process that has ended refuses connections at once and for as long as it takes to start.
+CONFIRM_S = 0.1
+
+
+class Judgement(enum.Enum):
+    """What an answer of the target is."""
+
+    ANSWER = "answer"
+    NOT_RUN = "not-run"
+    MISPLACED = "misplaced"
+    SPOILED = "spoiled"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Dialect:
+    """How the target is spoken to.
+
+    ``dress`` returns the headers of a request for a target with a time budget in seconds;
+    ``judge`` says what an answer is, ``is_foreign`` whether it belongs to another request id.
+    """
+
+    dress: collections.abc.Callable[[exchange.Call, identity.Lifetime, float], exchange.Headers]
+    judge: collections.abc.Callable[[int, exchange.Headers], Judgement]
+    is_foreign: collections.abc.Callable[[exchange.Headers, str], bool]
+
+
+@dataclasses.dataclass(kw_only=True)
+class Delivery:
+    """What requests at the target share."""
+
+    node: node_module.Node
+    pool: pool.Pool
+    dialect: Dialect
+    waiters: dict[gate.Ticket, trio.Event] = dataclasses.field(default_factory=dict)
+    late: set[gate.Ticket] = dataclasses.field(default_factory=set)
+    is_confirming: bool = False
+
+
+@dataclasses.dataclass(kw_only=True)
+class Ended:
+    """What became of a request here.
+
+    ``retry_after_s`` goes with a refusal. ``is_told`` says that the caller has its answer, or the
+    beginning of one that broke off.
+    """
+
+    result: outcome.Outcome
+    retry_after_s: float = 0.0
+    is_told: bool = False
+
+
+async def run(delivery: Delivery, call: exchange.Call, caller: exchange.Caller) -> Ended:
+    """Run a request at the target beside this node.
+
+    :param delivery: the state.
+    :param call: the request, with its rules.
+    :param caller: who gets the answer.
+    """
+    node = delivery.node
+    rules = call.rules
+    assert rules is not None
+    refusal = await _find_refusal(delivery, call, rules)
+    if refusal is not None:
+        return refusal
+    demand = gate.Demand(
+        deadline_at=call.deadline_at_s, objective_s=rules.objective_s, priority=rules.priority
+    )
+    admitted = gate.admit(node.gate, demand, node.now())
+    if admitted.ticket is None:
+        return Ended(
+            result=outcome.refuse(outcome.Reason.QUEUE_FULL), retry_after_s=admitted.retry_after_s
+        )
+    if admitted.verdict is gate.Verdict.WAIT and not await _wait(delivery, admitted.ticket):
+        return Ended(result=outcome.refuse(outcome.Reason.DEADLINE), retry_after_s=node.gate.work_s)
+    sent_at = node.now()
+    ended = attempt.Result()
+    try:
+        # The target may have left, or the keys moved, while the request waited.
+        refusal = await _find_refusal(delivery, call, rules, may_wait=False)
+        if refusal is not None:
+            return refusal
+        return await _attempt(delivery, call, caller, ended)
+    finally:
+        head_at = ended.attempt.head_at_s
+        is_work = head_at is not None and ended.attempt.step is not dispatch.Step.WITHHELD
+        gate.release(
+            node.gate,
+            admitted.ticket,
+            work_s=head_at - sent_at if is_work and head_at is not None else None,
+        )
+        wake(delivery)
+
+
+async def _find_refusal(
+    delivery: Delivery, call: exchange.Call, rules: exchange.Rules, *, may_wait: bool = True
+) -> Ended | None:
+    node = delivery.node
+    target = node.target
+    if target is None or target.is_dead:
+        return Ended(result=outcome.refuse(outcome.Reason.NO_TARGET), retry_after_s=0.5)
+    if call.service != node.place.service:
+        return Ended(result=outcome.refuse(outcome.Reason.MOVED))
+    if not node_module.is_open(node):
+        # Keys stay with a leaving target until they have been handed over.
+        is_handing_over = rules.slot is not None and node.now() < node.closed_at + HANDOVER_S
+        if not is_handing_over:
+            return Ended(result=outcome.refuse(outcome.Reason.DRAINED), retry_after_s=GRANT_RETRY_S)
+    if rules.slot is None:
+        return None
+    while True:
+        found = _find_holder(node, rules.slot)
+        if found is None:
+            return None
+        if found.result.reason is not outcome.Reason.LEASE_LAPSED or not may_wait:
+            return found
+        left_s = call.deadline_at_s - node.now() - node.gate.work_s
+        with trio.move_on_after(max(0.0, left_s)) as scope:
+            await node.changed.wait()
+        if scope.cancelled_caught:
+            return found
+
+
+def _find_holder(node: node_module.Node, slot: int) -> Ended | None:
+    """Return why a key can't be served here, or ``None`` if it can."""
+    book = node.books.get(node.place.service)
+    target = node.target
+    if book is None or target is None:
+        return Ended(result=outcome.refuse(outcome.Reason.NO_OWNER), retry_after_s=0.5)
+    span = ledger.find(book.ledger, slot)
+    if span.holder == target.lifetime:
+        if target.is_assumed or grant.is_granted(node.grantor, slot, node.now()):
+            return None
+        if span.heir:
+            return Ended(result=outcome.refuse(outcome.Reason.MOVED))
+    elif span.heir != target.lifetime:
+        return Ended(result=outcome.refuse(outcome.Reason.MOVED))
+    return Ended(result=outcome.refuse(outcome.Reason.LEASE_LAPSED), retry_after_s=GRANT_RETRY_S)
+
+
+async def _wait(delivery: Delivery, ticket: gate.Ticket) -> bool:
+    """Wait in the queue; return whether the request may run."""
+    event = delivery.waiters[ticket] = trio.Event()
+    try:
+        await event.wait()
+    except trio.Cancelled:
+        if event.is_set() and ticket not in delivery.late:
+            gate.release(delivery.node.gate, ticket, work_s=None)
+        gate.withdraw(delivery.node.gate, ticket)
+        wake(delivery)
+        raise
+    finally:
+        delivery.waiters.pop(ticket, None)
+    if ticket in delivery.late:
+        delivery.late.discard(ticket)
+        return False
+    return True
+
+
+def wake(delivery: Delivery) -> None:
+    """Let waiting requests run for which there is room now.
+
+    :param delivery: the state.
+    """
+    woken = gate.wake(delivery.node.gate, delivery.node.now())
+    for ticket in woken.late:
+        delivery.late.add(ticket)
+    for ticket in (*woken.run, *woken.late):
+        event = delivery.waiters.get(ticket)
+        if event is not None:
+            event.set()
+
+
+async def run_queue(delivery: Delivery) -> None:
+    """Wake waiting requests as time passes, until cancelled.
+
+    :param delivery: the state.
+    """
+    while True:
+        await trio.sleep(0.02 if delivery.node.gate.waiting else 0.1)
+        if delivery.node.gate.waiting:
+            wake(delivery)
+
+
+async def _attempt(
+    delivery: Delivery, call: exchange.Call, caller: exchange.Caller, ended: attempt.Result
+) -> Ended:
+    node, dialect, target = delivery.node, delivery.dialect, delivery.node.target
+    assert target is not None
+    judged = [Judgement.ANSWER]
+
+    def relay(status: int, headers: exchange.Headers) -> exchange.Headers | None:
+        judged[0] = dialect.judge(status, headers)
+        if judged[0] is not Judgement.ANSWER:
+            return None
+        return dispatch.filter_headers(headers)
+
+    left_s = max(0.0, call.deadline_at_s - node.now())
+    way = attempt.Way(
+        pool=delivery.pool,
+        address=node.place.target_address,
+        extra=dialect.dress(call, target.lifetime, left_s),
+        relay=relay,
+        p99_s=attempt.SLOW_ANSWER_S,
+        is_foreign=lambda headers: dialect.is_foreign(headers, call.request_id),
+    )
+    await attempt.run(way, call, caller, node.now, ended)
+    if ended.failure is pool.PoolFailure.REFUSED:
+        await _confirm_dead(delivery, target.lifetime)
+        return Ended(result=outcome.refuse(outcome.Reason.NO_TARGET), retry_after_s=0.3)
+    if ended.attempt.step is dispatch.Step.WITHHELD:
+        return _conclude_withheld(node, judged[0])
+    concluded = attempt.conclude(ended)
+    return Ended(result=concluded.result, is_told=concluded.is_told)
+
+
+def _conclude_withheld(node: node_module.Node, judged: Judgement) -> Ended:
+    if judged is Judgement.SPOILED:
+        return Ended(result=outcome.doubt(outcome.Reason.CONNECTION_LOST))
+    if judged is Judgement.MISPLACED:
+        return Ended(result=outcome.refuse(outcome.Reason.MOVED), retry_after_s=GRANT_RETRY_S)
+    return Ended(result=outcome.refuse(outcome.Reason.TARGET_SHED), retry_after_s=node.gate.work_s)
+
+
+async def _confirm_dead(delivery: Delivery, lifetime: identity.Lifetime) -> None:
+    """Tell a target that has ended from one that refuses a single connection."""
+    if delivery.is_confirming:
+        return
+    delivery.is_confirming = True
+    try:
+        with trio.CancelScope(shield=True):
+            await trio.sleep(CONFIRM_S)
+            address = delivery.node.place.target_address
+            opened = await pool.open_new(delivery.pool, address)
+            target = delivery.node.target
+            if target is None or target.lifetime != lifetime:
+                return
+            if isinstance(opened, result.Success):
+                await pool.discard(delivery.pool, address, opened.unwrap())
+            elif opened.failure() is pool.PoolFailure.REFUSED:
+                node_module.set_gone(delivery.node, "refuses connections", is_dead=True)
+    finally:
+        delivery.is_confirming = False
--- a/src/ebonyvalve/request/dispatch.py
+++ b/src/ebonyvalve/request/dispatch.py
@@ -58,6 +58,8 @@
 
 # Returns the headers to send to the caller, or None to withhold the answer.
 Relay = collections.abc.Callable[[int, exchange.Headers], exchange.Headers | None]
+# Returns whether an answer belongs to another request than the one that was sent.
+IsForeign = collections.abc.Callable[[exchange.Headers], bool]
 
 
 async def run(
@@ -70,6 +72,7 @@
     attempt: Attempt,
     now: collections.abc.Callable[[], float],
     awaits_continue: bool = False,
+    is_foreign: IsForeign | None = None,
 ) -> None:
     """Send a request on a connection and pass its answer on.
 
@@ -84,6 +87,7 @@
     :param now: returns the time in seconds.
     :param awaits_continue: keep the rest of the body until the other end asks for it, so that a
         request that is turned away can be sent elsewhere.
+    :param is_foreign: tells late answers to earlier requests, which are skipped.
     """
     if slot.conn is None:
         raise errors.InvariantError("a connection in use has no stream")
@@ -101,7 +105,7 @@
         attempt.step = Step.SEND_FAILED
         return
     if call.is_whole:
-        await _pass_answer(slot, conn, caller, relay, attempt, trio.Event(), now)
+        await _pass_answer(slot, conn, caller, relay, attempt, trio.Event(), now, is_foreign)
         return
     proceed = trio.Event()
     if not awaits_continue:
@@ -110,7 +114,7 @@
         nursery.start_soon(
             _pass_body, slot, conn, caller, attempt, nursery.cancel_scope, proceed, now
         )
-        await _pass_answer(slot, conn, caller, relay, attempt, proceed, now)
+        await _pass_answer(slot, conn, caller, relay, attempt, proceed, now, is_foreign)
         nursery.cancel_scope.cancel()
 
 
@@ -171,8 +175,9 @@
     attempt: Attempt,
     proceed: trio.Event,
     now: collections.abc.Callable[[], float],
+    is_foreign: IsForeign | None,
 ) -> None:
-    head = await _receive_head(conn, proceed)
+    head = await _receive_head(conn, proceed, is_foreign)
     if head is None:
         return
     liveness.note_progress(slot.life, now())
@@ -192,14 +197,21 @@
     await _pass_reply_body(slot, conn, caller, attempt, now)
 
 
-async def _receive_head(conn: wire.Wire, proceed: trio.Event) -> h11.Response | None:
+async def _receive_head(
+    conn: wire.Wire, proceed: trio.Event, is_foreign: IsForeign | None
+) -> h11.Response | None:
     while True:
         received = await wire.receive(conn)
         if isinstance(received, result.Failure):
             return None
         event = received.unwrap()
         if isinstance(event, h11.Response):
-            return event
+            if is_foreign is None or not is_foreign(list(event.headers)):
+                return event
+            await _skip_answer(conn)
+            if not wire.expect_another(conn):
+                return None
+            continue
         if not isinstance(event, h11.InformationalResponse):
             return None
         proceed.set()
--- a/src/ebonyvalve/request/exchange.py
+++ b/src/ebonyvalve/request/exchange.py
@@ -22,6 +22,23 @@
 Chunk = result.Result[bytes, BodyFailure]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Rules:
+    """What may be done with a request, as its route says. Times are seconds.
+
+    ``slot`` is its key if the service's targets hold keys. ``origin`` is the service of the VM
+    from which it came, ``lifetime`` the target for which it is meant.
+    """
+
+    is_repeatable: bool
+    attempts: int
+    priority: int
+    objective_s: float
+    origin: identity.ServiceId
+    slot: int | None = None
+    lifetime: identity.Lifetime = identity.Lifetime("")
+
+
 @dataclasses.dataclass(kw_only=True)
 class Call:
     """A request as the decisions see it.
@@ -43,6 +60,7 @@
     token: str | None = None
     prefix: bytes = b""
     is_whole: bool = False
+    rules: Rules | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -38,6 +38,7 @@
 Handle = collections.abc.Callable[
     [exchange.Call, exchange.Caller], collections.abc.Awaitable[outcome.Outcome]
 ]
+Parse = collections.abc.Callable[["Front", h11.Request], exchange.Call | str]
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -45,13 +46,17 @@
     """A listener's view of the program.
 
     ``find_limits`` returns the default deadline in seconds and the largest body in bytes of a
-    service. ``is_hop`` marks the listener that only other nodes may use.
+    service. ``is_hop`` marks the listener that only other nodes may use. ``parse`` reads the head
+    of a request; the product's own form is :func:`parse_call`. Idle connections are closed after
+    ``idle_timeout_s``.
     """
 
     now: collections.abc.Callable[[], float]
     handle: Handle
     find_limits: collections.abc.Callable[[identity.ServiceId], tuple[float, int]]
     is_hop: bool
+    parse: Parse | None = None
+    idle_timeout_s: float = IDLE_TIMEOUT_S
     max_connections: int = 1000
     connections: int = 0
     is_stopping: bool = False
@@ -109,7 +114,7 @@
         if head is wire.WireFailure.MALFORMED:
             await _reply_error(conn, outcome.refuse(outcome.Reason.BAD_REQUEST), "malformed HTTP")
         return False
-    call = parse_call(front, head)
+    call = (front.parse or parse_call)(front, head)
     if isinstance(call, str):
         await _reply_error(conn, outcome.refuse(outcome.Reason.BAD_REQUEST), call)
         return False
@@ -133,7 +138,7 @@
     """Return the next head; ``None`` when the connection ended between requests."""
     if front.is_stopping:
         return None
-    timeout_s = IDLE_TIMEOUT_S if conn.is_reused else HEAD_TIMEOUT_S
+    timeout_s = front.idle_timeout_s if conn.is_reused else HEAD_TIMEOUT_S
     with trio.move_on_after(timeout_s) as scope:
         front.idle_scopes.add(scope)
         try:
@@ -184,14 +189,18 @@
         method=head.method.decode("ascii"),
         path=path,
         headers=[pair for pair in headers if not pair[0].startswith(HEADER_PREFIX)],
-        length=_find_length(headers),
+        length=find_length(headers),
         deadline_at_s=deadline_at.unwrap(),
         is_hop=front.is_hop,
         token=None if token is None else token.decode("ascii", "replace"),
     )
 
 
-def _find_length(headers: exchange.Headers) -> int | None:
+def find_length(headers: exchange.Headers) -> int | None:
+    """Return the length of a body in bytes, or ``None`` if it is sent in chunks.
+
+    :param headers: pairs with names in lower case.
+    """
     value = wire.find_header(headers, b"content-length")
     if value is not None:
         return int(value)
--- /dev/null
+++ b/src/ebonyvalve/request/origin.py
@@ -0,0 +1,466 @@
+"""A request where it enters the mesh: its route, the target that gets it, and repeats elsewhere."""
+
+import collections.abc
+import dataclasses
+import logging
+
+import trio
+
+from ebonyvalve.connection import pool, wire
+from ebonyvalve.process import budget, decision, identity
+from ebonyvalve.process import node as node_module
+from ebonyvalve.process.keyspace import ledger
+from ebonyvalve.process.load import choice
+from ebonyvalve.request import attempt, delivery, dispatch, exchange, held, outcome
+from ebonyvalve.version import traffic
+
+log = logging.getLogger(__name__)
+
+# A ledger that has just changed reaches all nodes within a few round trips to the store.
+MOVED_PAUSE_S = 0.03
+MOST_TURNS = 6
+# Gives a node that has just lost a target time to learn of it.
+RETRY_AFTER_S = 0.4
+
+SERVICE_HEADER = b"ebonyvalve-service"
+DEADLINE_HEADER = b"ebonyvalve-deadline-ms"
+ORIGIN_HEADER = b"ebonyvalve-origin"
+RULES_HEADER = b"ebonyvalve-rules"
+LOAD_HEADER = b"ebonyvalve-load"
+REFUSED_HEADER = b"ebonyvalve-refused"
+RETRY_AFTER_HEADER = b"retry-after"
+PREFIX = b"ebonyvalve-"
+
+
+@dataclasses.dataclass(kw_only=True)
+class Origin:
+    """What requests that enter the mesh here share."""
+
+    node: node_module.Node
+    delivery: delivery.Delivery
+    peers: pool.Pool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Head:
+    """What the router needs of a request's head. ``budget_s`` is the caller's time budget."""
+
+    request_id: str
+    host: str
+    budget_s: float | None
+    slot: int | None
+
+
+def resolve(
+    origin: Origin, call: exchange.Call, head: Head
+) -> tuple[traffic.Route, exchange.Call] | outcome.Outcome:
+    """Return the request with its route's service, rules and deadline, or why it is refused.
+
+    :param origin: the state.
+    :param call: the request, as read.
+    :param head: what its head says.
+    """
+    node = origin.node
+    if node.config is None:
+        return outcome.refuse(outcome.Reason.NO_CONFIGURATION)
+    route = traffic.find_route(node.config, head.host, call.path)
+    if route is None:
+        return outcome.refuse(outcome.Reason.NO_SUCH_SERVICE)
+    service = traffic.pick_service(route, node.draw())
+    policy = node.config.services[service]
+    if policy.is_keyed and head.slot is None:
+        return outcome.refuse(outcome.Reason.BAD_REQUEST)
+    most_s = route.timeout_s if head.budget_s is None else min(route.timeout_s, head.budget_s)
+    call.service = service
+    call.deadline_at_s = node.now() + most_s
+    call.rules = exchange.Rules(
+        is_repeatable=route.repeat is traffic.Repeat.IDEMPOTENT,
+        attempts=route.attempts,
+        priority=route.priority,
+        objective_s=route.objective_s,
+        origin=node.place.service,
+        slot=head.slot if policy.is_keyed else None,
+    )
+    return route, call
+
+
+async def handle(
+    origin: Origin, call: exchange.Call, caller: exchange.Caller, head: Head
+) -> outcome.Outcome:
+    """Answer a request.
+
+    :param origin: the state.
+    :param call: the request, as read.
+    :param caller: who gets the answer.
+    :param head: what its head says.
+    """
+    started_at = origin.node.now()
+    resolved = resolve(origin, call, head)
+    if isinstance(resolved, outcome.Outcome):
+        await refuse(caller, resolved, RETRY_AFTER_S)
+        _record(origin, call, resolved, started_at, [])
+        return resolved
+    budget.earn(origin.node.budget)
+    kept = held.hold_back(caller)
+    tried: list[identity.NodeId] = []
+    ended = delivery.Ended(result=outcome.doubt(outcome.Reason.DEADLINE))
+    is_gone = False
+    with trio.move_on_after(call.deadline_at_s - origin.node.now()):
+        async with trio.open_nursery() as nursery:
+
+            async def watch() -> None:
+                nonlocal is_gone
+                await caller.wait_gone()
+                # Work that can't be repeated goes on, since the caller may not ask again.
+                is_gone = True
+                nursery.cancel_scope.cancel()
+
+            if call.is_whole:
+                nursery.start_soon(watch)
+            ended = await _try_all(origin, call, kept.caller, tried)
+            nursery.cancel_scope.cancel()
+    told = kept.is_begun[0] or ended.is_told
+    result = ended.result
+    if is_gone:
+        result = outcome.doubt(outcome.Reason.CALLER_GONE)
+    elif not told:
+        await refuse(caller, result, ended.retry_after_s)
+    _record(origin, call, result, started_at, tried)
+    return result
+
+
+async def _try_all(
+    origin: Origin, call: exchange.Call, caller: exchange.Caller, tried: list[identity.NodeId]
+) -> delivery.Ended:
+    """Try targets until one answers or nothing more may be done."""
+    rules = call.rules
+    assert rules is not None
+    node = origin.node
+    offered = 0
+    avoided: set[identity.NodeId] = set()
+    ended = delivery.Ended(
+        result=outcome.refuse(outcome.Reason.NO_TARGET), retry_after_s=RETRY_AFTER_S
+    )
+    has_moved = False
+    for turn in range(MOST_TURNS):
+        name = _pick(origin, call, rules, avoided, has_moved=has_moved)
+        if name is None:
+            break
+        tried.append(name)
+        ended = await _try_one(origin, call, caller, name)
+        verdict = ended.result.verdict
+        if verdict is outcome.Verdict.ANSWERED or ended.is_told or not call.is_whole:
+            return ended
+        if verdict is outcome.Verdict.UNKNOWN:
+            offered += 1
+            may_repeat = rules.is_repeatable and offered < rules.attempts
+            if not may_repeat or not _has_time(origin, call, name):
+                break
+            if not budget.spend(node.budget):
+                break
+        avoided.add(name)
+        if rules.slot is not None:
+            if ended.result.reason not in (outcome.Reason.MOVED, outcome.Reason.CONNECTION_LOST):
+                break
+            has_moved = ended.result.reason is outcome.Reason.MOVED
+            await trio.sleep(MOVED_PAUSE_S * (turn + 1))
+    if offered and ended.result.verdict is outcome.Verdict.NOT_RUN:
+        # An earlier attempt may have run, so that the refusal of the last one is not the truth.
+        ended.result = outcome.doubt(outcome.Reason.CONNECTION_LOST)
+    return ended
+
+
+def _has_time(origin: Origin, call: exchange.Call, name: identity.NodeId) -> bool:
+    view = node_module.read_view(origin.node, name)
+    return origin.node.now() + view.work_s < call.deadline_at_s
+
+
+def _pick(
+    origin: Origin,
+    call: exchange.Call,
+    rules: exchange.Rules,
+    avoided: set[identity.NodeId],
+    *,
+    has_moved: bool,
+) -> identity.NodeId | None:
+    node = origin.node
+    if rules.slot is not None:
+        return _find_owner(node, call.service, rules.slot, has_moved=has_moved)
+    open_ = {
+        one.node: one
+        for one in node_module.list_open_members(node, call.service)
+        if one.node not in avoided
+    }
+    now = node.now()
+    views = {name: node_module.read_view(node, name) for name in open_}
+    if avoided and all(view.avoid_until > now for view in views.values()):
+        return None
+    near = {name for name, one in open_.items() if one.zone == node.place.zone}
+    return choice.choose(views, near, now, node.draw)
+
+
+def _find_owner(
+    node: node_module.Node, service: identity.ServiceId, slot: int, *, has_moved: bool
+) -> identity.NodeId | None:
+    """Return where a key is served: its holder until that one has let go, then its heir."""
+    book = node.books.get(service)
+    if book is None:
+        return None
+    span = ledger.find(book.ledger, slot)
+    name = identity.NodeId(span.heir_node if has_moved and span.heir else span.node)
+    return name if name in node.members or name == node.place.node else None
+
+
+async def _try_one(
+    origin: Origin, call: exchange.Call, caller: exchange.Caller, name: identity.NodeId
+) -> delivery.Ended:
+    node = origin.node
+    view = node_module.read_view(node, name)
+    view.outstanding += 1
+    try:
+        if name == node.place.node:
+            ended = await delivery.run(origin.delivery, call, caller)
+            read_own_load(node, view)
+        else:
+            ended = await _hop(origin, call, caller, name, view)
+    finally:
+        view.outstanding -= 1
+    if ended.result.verdict is outcome.Verdict.NOT_RUN and ended.retry_after_s:
+        choice.note_refusal(view, ended.retry_after_s, node.now())
+    return ended
+
+
+def read_own_load(node: node_module.Node, view: choice.View) -> None:
+    """Note the load of the own target.
+
+    :param node: the node.
+    :param view: what is known of the own target.
+    """
+    busy = len(node.gate.running) + len(node.gate.waiting)
+    choice.note_load(
+        view, busy=busy, slots=node.gate.slots, work_s=node.gate.work_s, now=node.now()
+    )
+
+
+async def _hop(
+    origin: Origin,
+    call: exchange.Call,
+    caller: exchange.Caller,
+    name: identity.NodeId,
+    view: choice.View,
+) -> delivery.Ended:
+    node = origin.node
+    peer = node.members.get(name)
+    if peer is None:
+        return delivery.Ended(
+            result=outcome.refuse(outcome.Reason.NO_TARGET), retry_after_s=RETRY_AFTER_S
+        )
+    refused: list[delivery.Ended] = []
+
+    def relay(status: int, headers: exchange.Headers) -> exchange.Headers | None:
+        _take_load(view, headers, node.now())
+        reason = wire.find_header(headers, REFUSED_HEADER)
+        if reason is not None:
+            refused.append(_read_refusal(reason, headers))
+            return None
+        return strip(dispatch.filter_headers(headers))
+
+    way = attempt.Way(
+        pool=origin.peers,
+        address=peer.address,
+        extra=dress_hop(call, node.now()),
+        relay=relay,
+        p99_s=attempt.SLOW_ANSWER_S,
+    )
+    ended = attempt.Result()
+    await attempt.run(way, call, caller, node.now, ended)
+    if refused:
+        return refused[0]
+    concluded = attempt.conclude(ended)
+    if concluded.result.verdict is not outcome.Verdict.ANSWERED and not ended.is_late:
+        choice.note_failure(view, node.now())
+    return delivery.Ended(
+        result=concluded.result, is_told=concluded.is_told, retry_after_s=RETRY_AFTER_S
+    )
+
+
+def _read_refusal(value: bytes, headers: exchange.Headers) -> delivery.Ended:
+    verdict, _, reason = value.decode().partition(":")
+    retry_after = wire.find_header(headers, RETRY_AFTER_HEADER) or b"0"
+    why = outcome.Reason(reason)
+    is_not_run = verdict == outcome.Verdict.NOT_RUN.value
+    return delivery.Ended(
+        result=outcome.refuse(why) if is_not_run else outcome.doubt(why),
+        retry_after_s=float(retry_after),
+    )
+
+
+def strip(headers: exchange.Headers) -> exchange.Headers:
+    """Return headers without those of the mesh.
+
+    :param headers: pairs with names in lower case.
+    """
+    return [pair for pair in headers if not pair[0].startswith(PREFIX)]
+
+
+def dress_hop(call: exchange.Call, now: float) -> exchange.Headers:
+    """Return the headers that tell another node what it needs of a request.
+
+    :param call: the request, with its rules.
+    :param now: seconds on the node's clock.
+    """
+    rules = call.rules
+    assert rules is not None
+    left_ms = max(1, int((call.deadline_at_s - now) * 1000))
+    slot = "" if rules.slot is None else str(rules.slot)
+    packed = (
+        f"{int(rules.is_repeatable)},{rules.attempts},{rules.priority},"
+        f"{int(rules.objective_s * 1000)},{slot}"
+    )
+    return [
+        (SERVICE_HEADER, call.service.encode()),
+        (DEADLINE_HEADER, str(left_ms).encode()),
+        (ORIGIN_HEADER, rules.origin.encode()),
+        (RULES_HEADER, packed.encode()),
+    ]
+
+
+def undress_hop(call: exchange.Call, headers: exchange.Headers, now: float) -> bool:
+    """Read what :func:`dress_hop` wrote into a request; return whether it was all there.
+
+    :param call: the request, as read.
+    :param headers: its headers.
+    :param now: seconds on the node's clock.
+    """
+    found = {name: value.decode() for name, value in headers if name.startswith(PREFIX)}
+    try:
+        repeatable, attempts, priority, objective_ms, slot = found[RULES_HEADER].split(",")
+        call.service = identity.ServiceId(found[SERVICE_HEADER])
+        call.deadline_at_s = now + int(found[DEADLINE_HEADER]) / 1000
+        call.rules = exchange.Rules(
+            is_repeatable=repeatable == "1",
+            attempts=int(attempts),
+            priority=int(priority),
+            objective_s=int(objective_ms) / 1000,
+            origin=identity.ServiceId(found[ORIGIN_HEADER]),
+            slot=int(slot) if slot else None,
+        )
+    except (KeyError, ValueError) as exc:
+        decision.record(log, logging.WARNING, "hop-unreadable", cause=repr(exc))
+        return False
+    return True
+
+
+def _take_load(view: choice.View, headers: exchange.Headers, now: float) -> None:
+    value = wire.find_header(headers, LOAD_HEADER)
+    if value is None:
+        return
+    busy, slots, work_ms = value.split(b",")
+    choice.note_load(view, busy=int(busy), slots=int(slots), work_s=int(work_ms) / 1000, now=now)
+
+
+def list_load(node: node_module.Node) -> exchange.Headers:
+    """Return the header that tells another node the load of this node's target.
+
+    :param node: the node.
+    """
+    busy = len(node.gate.running) + len(node.gate.waiting)
+    value = f"{busy},{node.gate.slots},{max(1, int(node.gate.work_s * 1000))}"
+    return [(LOAD_HEADER, value.encode())]
+
+
+async def serve_hop(
+    origin: Origin, call: exchange.Call, caller: exchange.Caller
+) -> outcome.Outcome:
+    """Answer a request that another node has sent here.
+
+    :param origin: the state.
+    :param call: the request, with its rules.
+    :param caller: the other node.
+    """
+    node = origin.node
+    started_at = node.now()
+
+    async def reply(status: int, headers: exchange.Headers) -> bool:
+        return await caller.reply(status, headers + list_load(node))
+
+    passing = dataclasses.replace(caller, reply=reply)
+    ended = delivery.Ended(result=outcome.doubt(outcome.Reason.DEADLINE))
+    is_gone = False
+    with trio.move_on_after(call.deadline_at_s - node.now()):
+        async with trio.open_nursery() as nursery:
+
+            async def watch() -> None:
+                nonlocal is_gone
+                await caller.wait_gone()
+                is_gone = True
+                nursery.cancel_scope.cancel()
+
+            if call.is_whole:
+                nursery.start_soon(watch)
+            ended = await delivery.run(origin.delivery, call, passing)
+            nursery.cancel_scope.cancel()
+    if not is_gone and not ended.is_told and ended.result.verdict is not outcome.Verdict.ANSWERED:
+        why = f"{ended.result.verdict.value}:{ended.result.reason.value}"
+        extra = [(REFUSED_HEADER, why.encode()), *list_load(node)]
+        await refuse(caller, ended.result, ended.retry_after_s, extra)
+    _record(origin, call, ended.result, started_at, [node.place.node])
+    return ended.result
+
+
+async def refuse(
+    caller: exchange.Caller,
+    result: outcome.Outcome,
+    retry_after_s: float,
+    extra: exchange.Headers | None = None,
+) -> None:
+    """Tell the caller that its request was not answered.
+
+    :param caller: who gets the answer.
+    :param result: why.
+    :param retry_after_s: when to come back; 0 for no hint.
+    :param extra: further headers.
+    """
+    body = f"{result.reason.value}\n".encode()
+    headers = [
+        (b"content-type", b"text/plain; charset=utf-8"),
+        (b"content-length", str(len(body)).encode()),
+        *(extra or []),
+    ]
+    if retry_after_s > 0 and result.verdict is outcome.Verdict.NOT_RUN:
+        headers.append((RETRY_AFTER_HEADER, f"{retry_after_s:.3f}".encode()))
+    status = result.status
+    if result.verdict is outcome.Verdict.NOT_RUN and status not in (400, 404):
+        # Whatever kept the request from running, this status promises that it has not run.
+        status = 503
+    if await caller.reply(status, headers) and await caller.write(body):
+        await caller.finish()
+
+
+def _record(
+    origin: Origin,
+    call: exchange.Call,
+    result: outcome.Outcome,
+    started_at: float,
+    tried: collections.abc.Sequence[identity.NodeId],
+) -> None:
+    is_answered = result.verdict is outcome.Verdict.ANSWERED
+    if is_answered and not log.isEnabledFor(logging.DEBUG):
+        return
+    node = origin.node
+    book = node.books.get(call.service)
+    decision.record(
+        log,
+        logging.DEBUG if is_answered else logging.INFO,
+        "request",
+        id=call.request_id,
+        service=call.service,
+        key=call.rules.slot if call.rules else None,
+        outcome=result.verdict,
+        reason=result.reason,
+        status=result.status,
+        tried=",".join(tried),
+        took_ms=int((node.now() - started_at) * 1000),
+        ledger=book.version if book is not None else None,
+        config=node.config.version if node.config is not None else None,
+    )
