--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -11,6 +11,7 @@
 import socket
 import sys
 
+from returns import result
 import trio
 
 from ebonyvalve import errors
@@ -20,7 +21,7 @@
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process import place as place_module
 from ebonyvalve.process.keyspace import grant, steward
-from ebonyvalve.process.load import gate
+from ebonyvalve.process.load import gate, heat
 from ebonyvalve.request import attempt, delivery, exchange, front, origin, outcome
 
 log = logging.getLogger(__name__)
@@ -79,6 +80,7 @@
             functools.partial(steward.announce, daemon.steward),
             functools.partial(steward.keep_lease, daemon.steward),
             functools.partial(steward.tend, daemon.steward),
+            functools.partial(steward.push_ledger, daemon.steward),
             functools.partial(operator.follow, daemon.node, daemon.steward.store),
             functools.partial(delivery.run_queue, daemon.origin.delivery),
             functools.partial(sweep, daemon),
@@ -112,9 +114,10 @@
         gate=gate.Gate(slots=1, cold_rate=0.0),
         grantor=grant.start(now=now(), most_hold_s=steward.find_hold(place.heartbeat_s)),
         budget=budget.Budget(share=place.retries.ratio / 2),
+        heat=heat.Heat(at=now()),
     )
     client = store.Client(address=place.store_address, connect=connect, now=now)
-    keeper = steward.Steward(node=node, store=store.open_store(client))
+    keeper = steward.Steward(node=node, store=store.open_store(client), connect=connect)
     local = delivery.Delivery(
         node=node,
         pool=pool.Pool(connect=connect, now=now),
@@ -133,7 +136,7 @@
     )
     peers = front.Front(
         now=now,
-        handle=functools.partial(handle_peer, entry),
+        handle=functools.partial(handle_peer, entry, keeper),
         find_limits=functools.partial(find_limits, node),
         is_hop=True,
         parse=dialect.build_parse(now),
@@ -158,14 +161,20 @@
 
 
 async def handle_peer(
-    entry: origin.Origin, call: exchange.Call, caller: exchange.Caller
+    entry: origin.Origin,
+    keeper: steward.Steward,
+    call: exchange.Call,
+    caller: exchange.Caller,
 ) -> outcome.Outcome:
     """Answer a request that another node has sent here.
 
     :param entry: the state.
+    :param keeper: takes the ledgers that other nodes send.
     :param call: the request.
     :param caller: the other node.
     """
+    if call.path.startswith(steward.LEDGER_PATH):
+        return await take_ledger(keeper, call, caller)
     if not origin.undress_hop(call, call.headers, entry.node.now()):
         refusal = outcome.refuse(outcome.Reason.BAD_REQUEST)
         await origin.refuse(caller, refusal, 0.0)
@@ -174,6 +183,29 @@
     return await origin.serve_hop(entry, call, caller)
 
 
+async def take_ledger(
+    keeper: steward.Steward, call: exchange.Call, caller: exchange.Caller
+) -> outcome.Outcome:
+    """Take a ledger that another node sends.
+
+    :param keeper: the state.
+    :param call: the message.
+    :param caller: the other node.
+    """
+    body = call.prefix
+    while not call.is_whole:
+        chunk = await caller.receive()
+        if not isinstance(chunk, result.Success):
+            return outcome.refuse(outcome.Reason.BODY_BROKEN)
+        data = chunk.unwrap()
+        body += data
+        call.is_whole = not data
+    status = 204 if steward.take_push(keeper, call.path, body) else 400
+    await caller.reply(status, [])
+    await caller.finish()
+    return outcome.Outcome(verdict=outcome.Verdict.ANSWERED, status=status)
+
+
 def find_limits(node: node_module.Node, _: identity.ServiceId) -> tuple[float, int]:
     """Return the default deadline in seconds and the largest body in bytes.
 
@@ -278,7 +310,12 @@
     async def respond(request: http.Request) -> http.Reply:
         name = request.path.partition("?")[0].removeprefix(announcement.PATH)
         if request.method == "PUT":
-            return take_report(daemon, name, request.body)
+            refusal = take_report(daemon, name, request.body)
+            if refusal is not None:
+                return refusal
+            await steward.await_keys(daemon.steward)
+            given = steward.answer_report(daemon.steward)
+            return http.Reply(status=200, body=announcement.encode(given))
         if request.method == "DELETE":
             return take_leave(daemon, name)
         return http.Reply(status=404, body=b"{}")
@@ -286,8 +323,8 @@
     return functools.partial(http.serve, respond, most_bytes=REPORT_BYTES)
 
 
-def take_report(daemon: Daemon, name: str, body: bytes) -> http.Reply:
-    """Take a status report and answer with what the target is to hold.
+def take_report(daemon: Daemon, name: str, body: bytes) -> http.Reply | None:
+    """Take a status report; return why it is refused, if it is.
 
     :param daemon: the daemon.
     :param name: the target's id.
@@ -321,7 +358,7 @@
         ),
         decoded.cold_left_s,
     )
-    return http.Reply(status=200, body=announcement.encode(steward.answer_report(daemon.steward)))
+    return None
 
 
 def is_late(
--- a/src/ebonyvalve/process/keyspace/plan.py
+++ b/src/ebonyvalve/process/keyspace/plan.py
@@ -73,14 +73,13 @@
     """Give part of the own keys to a target that holds none, if the own part is the largest."""
     sizes = {one.lifetime: 0 for one in situation.candidates if one.weight > 0}
     for span in book.spans:
-        for owner in {span.holder, span.heir}:
-            if owner in sizes:
-                sizes[identity.Lifetime(owner)] += span.last - span.first + 1
+        if span.holder in sizes:
+            sizes[identity.Lifetime(span.holder)] += span.last - span.first + 1
     if situation.present not in sizes or any(span.heir for span in book.spans):
         return book
     empty = [one for one in situation.candidates if sizes.get(one.lifetime) == 0]
     largest = max(sizes, key=lambda name: (sizes[name], name))
-    if not empty or largest != situation.present:
+    if not empty or largest != situation.present or not sizes[largest]:
         return book
     fair = (identity.LAST_SLOT + 1) // len(sizes)
     wanted = min(fair, sizes[largest] // 2)
--- a/src/ebonyvalve/process/keyspace/steward.py
+++ b/src/ebonyvalve/process/keyspace/steward.py
@@ -4,11 +4,13 @@
 import logging
 
 import msgspec
+from returns import result
 import trio
 
-from ebonyvalve.process import decision, identity, member
+from ebonyvalve.process import decision, http, identity, member, network
 from ebonyvalve.process import node as node_module
-from ebonyvalve.process.keyspace import grant, lease, ledger, plan
+from ebonyvalve.process.keyspace import grant, lease, ledger, plan, relief
+from ebonyvalve.process.load import heat
 from ebonyvalve.process.store import table
 
 log = logging.getLogger(__name__)
@@ -27,6 +29,15 @@
 # All VMs start within 0.3 s, and their targets report within a heartbeat.
 GATHER_S = 1.0
 GATHER_PAUSE_S = 0.5
+# Lets the rates and loads after a move settle before the next one.
+RELIEF_PAUSE_S = 0.6
+# Loads older than this say nothing of a target.
+LOAD_AGE_S = 3.0
+LEDGER_PATH = "/ebonyvalve/ledger/"
+PUSH_TIMEOUT_S = 0.5
+# A target that is about to get keys is answered when they are free, but within the second after
+# which it gives an answer up.
+ANSWER_WAIT_S = 0.6
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -35,12 +46,16 @@
 
     node: node_module.Node
     store: table.Store
+    connect: network.Connect
     mesh_version: int = 0
     announced: member.Member | None = None
     lease_row: lease.LeaseRow | None = None
     lease_version: int = table.MISSING
     leases_read_at: float = float("-inf")
     first_seen_at: float | None = None
+    relieved_at: float = float("-inf")
+    # Nodes that are told of the newest ledger at once, since they wait for its keys.
+    heirs: set[identity.NodeId] = dataclasses.field(default_factory=set)
 
 
 async def follow_mesh(steward: Steward) -> None:
@@ -344,6 +359,8 @@
             return False
         return await _write(steward, name, table.MISSING, ledger.create(situation.candidates), {})
     proposed = plan.propose(book.ledger, situation)
+    if proposed == book.ledger:
+        proposed = _relieve(steward, book.ledger, situation)
     if proposed == book.ledger:
         return False
     taken = {span.node for span in book.ledger.spans if span.node and span.node in situation.over}
@@ -363,6 +380,8 @@
     ended: dict[table.Name, int],
 ) -> bool:
     node = steward.node
+    known = node.books.get(node.place.service)
+    based = known.ledger if known is not None else ledger.Ledger(spans=())
     writes: dict[table.Name, bytes | None] = {name: ledger.encode(proposed)}
     writes.update(dict.fromkeys(ended))
     done = await steward.store.commit({name: version, **ended}, writes)
@@ -377,6 +396,13 @@
     )
     if isinstance(done, table.Committed):
         node.books[node.place.service] = node_module.Book(ledger=proposed, version=done.version)
+        own = node.place.node
+        steward.heirs |= {
+            identity.NodeId(name)
+            for span in proposed.spans
+            for name in (span.node, span.heir_node)
+            if name and name != own and (span.heir or span not in based.spans)
+        }
         for one in ended:
             node.leases.pop(identity.NodeId(one.key), None)
         node_module.pulse(node)
@@ -388,6 +414,122 @@
     return False
 
 
+def _relieve(steward: Steward, book: ledger.Ledger, situation: plan.Situation) -> ledger.Ledger:
+    """Return the ledger with moves that relieve the own target, if it is too busy."""
+    node = steward.node
+    now = node.now()
+    if situation.is_leaving or now < steward.relieved_at + RELIEF_PAUSE_S:
+        return book
+    own = next((one for one in situation.candidates if one.node == node.place.node), None)
+    if own is None:
+        return book
+    held = ledger.list_held(book, own.lifetime)
+    heat.forget(node.heat, lambda slot: any(span.first <= slot <= span.last for span in held))
+    loads = {one.node: _estimate(steward, one) for one in situation.candidates}
+    others = [load for name, load in loads.items() if name != node.place.node]
+    moves = relief.find_moves(book, loads[own.node], others, heat.read_rates(node.heat, now))
+    for move in moves:
+        book = ledger.order_move(book, move.first, move.last, move.heir)
+        decision.record(
+            log,
+            logging.INFO,
+            "relief",
+            first=move.first,
+            last=move.last,
+            heir=move.heir.node,
+            own_load=round(loads[own.node].offered, 3),
+            heir_load=round(loads[move.heir.node].offered, 3),
+        )
+    if moves:
+        steward.relieved_at = now
+    return book
+
+
+def _estimate(steward: Steward, one: ledger.Candidate) -> relief.Load:
+    node = steward.node
+    if one.node == node.place.node:
+        measured = node_module.measure(node)
+        return relief.Load(
+            candidate=one,
+            offered=measured.offered,
+            request_load=measured.work_s / measured.slots,
+        )
+    view = node_module.read_view(node, one.node)
+    is_fresh = node.now() - view.reported_at < LOAD_AGE_S
+    return relief.Load(
+        candidate=one,
+        offered=view.offered if is_fresh else 0.0,
+        request_load=view.work_s / view.slots,
+    )
+
+
+async def push_ledger(steward: Steward) -> None:
+    """Tell heirs of the newest ledger without the detour by the store, until cancelled.
+
+    :param steward: the state.
+    """
+    node = steward.node
+    while True:
+        changed = node.changed
+        book = node.books.get(node.place.service)
+        if not steward.heirs or book is None:
+            await changed.wait()
+            continue
+        names, steward.heirs = steward.heirs, set()
+        path = f"{LEDGER_PATH}{node.place.service}/{book.version}"
+        request = http.Request(method="POST", path=path, body=ledger.encode(book.ledger))
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                if name in node.members:
+                    nursery.start_soon(_push, steward, node.members[name].address, request)
+
+
+async def _push(steward: Steward, address: identity.Address, request: http.Request) -> None:
+    sent = await http.fetch(steward.connect, address, request, timeout_s=PUSH_TIMEOUT_S)
+    if not isinstance(sent, result.Success):
+        # The node learns of it from the store a little later.
+        decision.record(
+            log, logging.INFO, "push-failed", address=address, cause=sent.failure().value
+        )
+
+
+def take_push(steward: Steward, path: str, body: bytes) -> bool:
+    """Take a ledger that another node sends; return whether it could be read.
+
+    :param steward: the state.
+    :param path: names the service and the version.
+    :param body: the ledger.
+    """
+    service, _, version = path.removeprefix(LEDGER_PATH).rpartition("/")
+    name = table.Name(table=MESH, key=BOOK_PREFIX + service)
+    try:
+        row = table.Row(name=name, value=body, version=int(version))
+        _take_book(steward, identity.ServiceId(service), row)
+    except (ValueError, msgspec.DecodeError) as exc:
+        decision.record(log, logging.ERROR, "push-unreadable", path=path, cause=str(exc))
+        return False
+    node_module.pulse(steward.node)
+    return True
+
+
+async def await_keys(steward: Steward) -> None:
+    """Wait a moment while keys are on their way to the target beside this node.
+
+    :param steward: the state.
+    """
+    node = steward.node
+    with trio.move_on_after(ANSWER_WAIT_S):
+        while True:
+            changed = node.changed
+            book = node.books.get(node.place.service)
+            target = node.target
+            if book is None or target is None or target.state is not member.TargetState.READY:
+                return
+            if not any(span.heir == target.lifetime for span in book.ledger.spans):
+                return
+            await changed.wait()
+
+
 def assess(steward: Steward) -> plan.Situation:
     """Return what the node knows when it looks at the ledger now.
 
--- a/src/ebonyvalve/process/load/choice.py
+++ b/src/ebonyvalve/process/load/choice.py
@@ -19,27 +19,41 @@
 
 @dataclasses.dataclass(kw_only=True)
 class View:
-    """What this node knows of another node's target, from its answers. Times are seconds."""
+    """What this node knows of another node's target, from its answers. Times are seconds.
+
+    ``offered`` is the work that arrives for it a second over the work it can do.
+    """
 
     slots: int
     busy: int = 0
     work_s: float = FIRST_WORK_S
+    offered: float = 0.0
     reported_at: float = float("-inf")
     outstanding: int = 0
     failures: int = 0
     avoid_until: float = float("-inf")
 
 
-def note_load(view: View, *, busy: int, slots: int, work_s: float, now: float) -> None:
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Report:
+    """A target's load as its node tells it: requests that run or wait, slots, and work."""
+
+    busy: int
+    slots: int
+    work_s: float
+    offered: float
+
+
+def note_load(view: View, report: Report, now: float) -> None:
     """Note the load that came with an answer.
 
     :param view: the state.
-    :param busy: requests that run or wait.
-    :param slots: requests that the target runs at once.
-    :param work_s: its usual work time in seconds.
+    :param report: the load.
     :param now: seconds on the node's clock.
     """
-    view.busy, view.slots, view.work_s, view.reported_at = busy, max(1, slots), work_s, now
+    view.busy, view.slots = report.busy, max(1, report.slots)
+    view.work_s, view.offered = report.work_s, report.offered
+    view.reported_at = now
     view.failures = 0
     view.avoid_until = float("-inf")
 
--- /dev/null
+++ b/src/ebonyvalve/process/load/heat.py
@@ -0,0 +1,89 @@
+"""How often each key is asked for: decayed counts of the keys of one target."""
+
+import collections.abc
+import dataclasses
+import math
+
+# Hot keys change within seconds; a shorter memory would follow single requests.
+MEMORY_S = 2.0
+# A key with less than this rate says nothing and is forgotten.
+LEAST_RATE = 0.02
+COMPACT_S = 1.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class Heat:
+    """Decayed counts by key, all as of ``at`` in seconds on the node's clock."""
+
+    at: float
+    counts: dict[int, float] = dataclasses.field(default_factory=dict)
+    # Counts are kept multiplied by this, so that decay costs one multiplication for all.
+    scale: float = 1.0
+    total: float = 0.0
+    compacted_at: float = float("-inf")
+
+
+def note(heat: Heat, slot: int, now: float) -> None:
+    """Count one request.
+
+    :param heat: the state.
+    :param slot: its key.
+    :param now: seconds on the node's clock.
+    """
+    _decay(heat, now)
+    heat.counts[slot] = heat.counts.get(slot, 0.0) + heat.scale
+    heat.total += heat.scale
+
+
+def read_rates(heat: Heat, now: float) -> dict[int, float]:
+    """Return requests a second by key.
+
+    :param heat: the state.
+    :param now: seconds on the node's clock.
+    """
+    _decay(heat, now)
+    _compact(heat)
+    factor = 1.0 / (heat.scale * MEMORY_S)
+    return {slot: count * factor for slot, count in heat.counts.items()}
+
+
+def read_total(heat: Heat, now: float) -> float:
+    """Return requests a second for all keys of the target.
+
+    :param heat: the state.
+    :param now: seconds on the node's clock.
+    """
+    _decay(heat, now)
+    return heat.total / (heat.scale * MEMORY_S)
+
+
+def forget(heat: Heat, is_held: collections.abc.Callable[[int], bool]) -> None:
+    """Drop the keys that the target no longer holds.
+
+    :param heat: the state.
+    :param is_held: whether the target holds a key.
+    """
+    heat.counts = {slot: count for slot, count in heat.counts.items() if is_held(slot)}
+    heat.total = sum(heat.counts.values())
+
+
+def _decay(heat: Heat, now: float) -> None:
+    elapsed_s = now - heat.at
+    if elapsed_s <= 0:
+        return
+    heat.at = now
+    heat.scale *= math.exp(min(elapsed_s, 100 * MEMORY_S) / MEMORY_S)
+    if heat.scale > 1e9 or now - heat.compacted_at > COMPACT_S:
+        heat.compacted_at = now
+        _compact(heat)
+
+
+def _compact(heat: Heat) -> None:
+    least = LEAST_RATE * MEMORY_S
+    heat.counts = {
+        slot: count / heat.scale
+        for slot, count in heat.counts.items()
+        if count / heat.scale >= least
+    }
+    heat.total /= heat.scale
+    heat.scale = 1.0
--- a/src/ebonyvalve/process/node.py
+++ b/src/ebonyvalve/process/node.py
@@ -8,7 +8,7 @@
 
 from ebonyvalve.process import budget, decision, identity, member, place
 from ebonyvalve.process.keyspace import grant, lease, ledger
-from ebonyvalve.process.load import choice, gate
+from ebonyvalve.process.load import choice, gate, heat
 from ebonyvalve.version import traffic
 
 log = logging.getLogger(__name__)
@@ -62,6 +62,7 @@
     gate: gate.Gate
     grantor: grant.Grantor
     budget: budget.Budget
+    heat: heat.Heat
     config: traffic.Traffic | None = None
     evacuated: frozenset[identity.ZoneId] = frozenset()
     members: dict[identity.NodeId, member.Member] = dataclasses.field(default_factory=dict)
@@ -143,6 +144,20 @@
     return view
 
 
+def measure(node: Node) -> choice.Report:
+    """Return the load of the target beside this node.
+
+    :param node: the node.
+    """
+    rate = heat.read_total(node.heat, node.now())
+    return choice.Report(
+        busy=len(node.gate.running) + len(node.gate.waiting),
+        slots=node.gate.slots,
+        work_s=node.gate.work_s,
+        offered=rate * node.gate.work_s / node.gate.slots,
+    )
+
+
 def list_open_members(node: Node, service: identity.ServiceId) -> list[member.Member]:
     """Return the members whose targets take new work of a service.
 
--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -12,11 +12,12 @@
 from ebonyvalve.process import identity
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant, ledger
-from ebonyvalve.process.load import gate
+from ebonyvalve.process.load import gate, heat
 from ebonyvalve.request import attempt, dispatch, exchange, outcome
 
 log = logging.getLogger(__name__)
 
+ANY_KEY = -1
 # A report that renews the grant comes with each heartbeat.
 GRANT_RETRY_S = 0.2
 # A leaving target may get new work for 2 s; this leaves room for what is on its way.
@@ -63,13 +64,15 @@
 class Ended:
     """What became of a request here.
 
-    ``retry_after_s`` goes with a refusal. ``is_told`` says that the caller has its answer, or the
+    ``retry_after_s`` goes with a refusal, ``owner`` with one for a key that another node serves.
+    ``is_told`` says that the caller has its answer, or the
     beginning of one that broke off.
     """
 
     result: outcome.Outcome
     retry_after_s: float = 0.0
     is_told: bool = False
+    owner: identity.NodeId | None = None
 
 
 async def run(delivery: Delivery, call: exchange.Call, caller: exchange.Caller) -> Ended:
@@ -85,6 +88,7 @@
     refusal = await _find_refusal(delivery, call, rules)
     if refusal is not None:
         return refusal
+    heat.note(node.heat, ANY_KEY if rules.slot is None else rules.slot, node.now())
     demand = gate.Demand(
         deadline_at=call.deadline_at_s, objective_s=rules.objective_s, priority=rules.priority
     )
@@ -154,12 +158,20 @@
         if target.is_assumed or grant.is_granted(node.grantor, slot, node.now()):
             return None
         if span.heir:
-            return Ended(result=outcome.refuse(outcome.Reason.MOVED))
+            return _refer(span.heir_node)
     elif span.heir != target.lifetime:
-        return Ended(result=outcome.refuse(outcome.Reason.MOVED))
+        return _refer(span.node)
     return Ended(result=outcome.refuse(outcome.Reason.LEASE_LAPSED), retry_after_s=GRANT_RETRY_S)
 
 
+def _refer(owner: str) -> Ended:
+    return Ended(
+        result=outcome.refuse(outcome.Reason.MOVED),
+        owner=identity.NodeId(owner) if owner else None,
+        retry_after_s=GRANT_RETRY_S,
+    )
+
+
 async def _wait(delivery: Delivery, ticket: gate.Ticket) -> bool:
     """Wait in the queue; return whether the request may run."""
     event = delivery.waiters[ticket] = trio.Event()
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -28,6 +28,7 @@
 RULES_HEADER = b"ebonyvalve-rules"
 LOAD_HEADER = b"ebonyvalve-load"
 REFUSED_HEADER = b"ebonyvalve-refused"
+OWNER_HEADER = b"ebonyvalve-owner"
 RETRY_AFTER_HEADER = b"retry-after"
 PREFIX = b"ebonyvalve-"
 
@@ -141,9 +142,9 @@
     ended = delivery.Ended(
         result=outcome.refuse(outcome.Reason.NO_TARGET), retry_after_s=RETRY_AFTER_S
     )
-    has_moved = False
+    owner: identity.NodeId | None = None
     for turn in range(MOST_TURNS):
-        name = _pick(origin, call, rules, avoided, has_moved=has_moved)
+        name = _pick(origin, call, rules, avoided, owner=owner)
         if name is None:
             break
         tried.append(name)
@@ -162,8 +163,10 @@
         if rules.slot is not None:
             if ended.result.reason not in (outcome.Reason.MOVED, outcome.Reason.CONNECTION_LOST):
                 break
-            has_moved = ended.result.reason is outcome.Reason.MOVED
-            await trio.sleep(MOVED_PAUSE_S * (turn + 1))
+            is_news = ended.owner is not None and ended.owner not in tried
+            owner = ended.owner
+            if not is_news:
+                await trio.sleep(MOVED_PAUSE_S * (turn + 1))
     if offered and ended.result.verdict is outcome.Verdict.NOT_RUN:
         # An earlier attempt may have run, so that the refusal of the last one is not the truth.
         ended.result = outcome.doubt(outcome.Reason.CONNECTION_LOST)
@@ -181,11 +184,11 @@
     rules: exchange.Rules,
     avoided: set[identity.NodeId],
     *,
-    has_moved: bool,
+    owner: identity.NodeId | None,
 ) -> identity.NodeId | None:
     node = origin.node
     if rules.slot is not None:
-        return _find_owner(node, call.service, rules.slot, has_moved=has_moved)
+        return _find_owner(node, call.service, rules.slot, owner=owner)
     open_ = {
         one.node: one
         for one in node_module.list_open_members(node, call.service)
@@ -200,14 +203,13 @@
 
 
 def _find_owner(
-    node: node_module.Node, service: identity.ServiceId, slot: int, *, has_moved: bool
+    node: node_module.Node, service: identity.ServiceId, slot: int, *, owner: identity.NodeId | None
 ) -> identity.NodeId | None:
-    """Return where a key is served: its holder until that one has let go, then its heir."""
+    """Return where a key is served: at the node that another one has named, or by the ledger."""
     book = node.books.get(service)
     if book is None:
         return None
-    span = ledger.find(book.ledger, slot)
-    name = identity.NodeId(span.heir_node if has_moved and span.heir else span.node)
+    name = owner or identity.NodeId(ledger.find(book.ledger, slot).node)
     return name if name in node.members or name == node.place.node else None
 
 
@@ -220,7 +222,7 @@
     try:
         if name == node.place.node:
             ended = await delivery.run(origin.delivery, call, caller)
-            read_own_load(node, view)
+            choice.note_load(view, node_module.measure(node), node.now())
         else:
             ended = await _hop(origin, call, caller, name, view)
     finally:
@@ -230,18 +232,6 @@
     return ended
 
 
-def read_own_load(node: node_module.Node, view: choice.View) -> None:
-    """Note the load of the own target.
-
-    :param node: the node.
-    :param view: what is known of the own target.
-    """
-    busy = len(node.gate.running) + len(node.gate.waiting)
-    choice.note_load(
-        view, busy=busy, slots=node.gate.slots, work_s=node.gate.work_s, now=node.now()
-    )
-
-
 async def _hop(
     origin: Origin,
     call: exchange.Call,
@@ -287,11 +277,13 @@
 def _read_refusal(value: bytes, headers: exchange.Headers) -> delivery.Ended:
     verdict, _, reason = value.decode().partition(":")
     retry_after = wire.find_header(headers, RETRY_AFTER_HEADER) or b"0"
+    owner = wire.find_header(headers, OWNER_HEADER)
     why = outcome.Reason(reason)
     is_not_run = verdict == outcome.Verdict.NOT_RUN.value
     return delivery.Ended(
         result=outcome.refuse(why) if is_not_run else outcome.doubt(why),
         retry_after_s=float(retry_after),
+        owner=identity.NodeId(owner.decode()) if owner else None,
     )
 
 
@@ -355,8 +347,11 @@
     value = wire.find_header(headers, LOAD_HEADER)
     if value is None:
         return
-    busy, slots, work_ms = value.split(b",")
-    choice.note_load(view, busy=int(busy), slots=int(slots), work_s=int(work_ms) / 1000, now=now)
+    busy, slots, work_ms, offered = value.split(b",")
+    report = choice.Report(
+        busy=int(busy), slots=int(slots), work_s=int(work_ms) / 1000, offered=float(offered)
+    )
+    choice.note_load(view, report, now)
 
 
 def list_load(node: node_module.Node) -> exchange.Headers:
@@ -364,8 +359,9 @@
 
     :param node: the node.
     """
-    busy = len(node.gate.running) + len(node.gate.waiting)
-    value = f"{busy},{node.gate.slots},{max(1, int(node.gate.work_s * 1000))}"
+    load = node_module.measure(node)
+    work_ms = max(1, int(load.work_s * 1000))
+    value = f"{load.busy},{load.slots},{work_ms},{load.offered:.3f}"
     return [(LOAD_HEADER, value.encode())]
 
 
@@ -403,6 +399,8 @@
     if not is_gone and not ended.is_told and ended.result.verdict is not outcome.Verdict.ANSWERED:
         why = f"{ended.result.verdict.value}:{ended.result.reason.value}"
         extra = [(REFUSED_HEADER, why.encode()), *list_load(node)]
+        if ended.owner is not None:
+            extra.append((OWNER_HEADER, ended.owner.encode()))
         await refuse(caller, ended.result, ended.retry_after_s, extra)
     _record(origin, call, ended.result, started_at, [node.place.node])
     return ended.result
--- /dev/null
+++ b/src/ebonyvalve/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Plays other systems for tests and trials; a running daemon never imports it."""
--- /dev/null
+++ b/src/ebonyvalve/standin/metadata.py
@@ -0,0 +1,233 @@
+"""The platform's metadata store in memory, with the faults that its protocol allows."""
+
+import base64
+import collections.abc
+import dataclasses
+import enum
+import urllib.parse
+
+import msgspec
+import trio
+
+from ebonyvalve.process import http
+
+RowKey = tuple[str, str, str]
+PAGE_ROWS = 500
+MOST_ENTRIES = 100
+
+
+class Fault(enum.Enum):
+    """What the store does with the next calls."""
+
+    NONE = "none"
+    # Says that nothing was done.
+    BUSY = "busy"
+    LIMIT = "limit"
+    # Does nothing and never answers.
+    SILENT = "silent"
+    # Does what was asked and never answers.
+    LOST = "lost"
+    # Does what was asked after ``late_s``, if its condition still holds, and never answers.
+    LATE = "late"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Entry:
+    """A row with its version. ``value`` is ``None`` for one that was removed."""
+
+    value: bytes | None
+    version: int
+
+
+@dataclasses.dataclass(kw_only=True)
+class Metadata:
+    """The state of the store.
+
+    ``faults`` says for each caller what happens to its calls; ``""`` stands for all others.
+    """
+
+    now: collections.abc.Callable[[], float]
+    delay_s: float = 0.0
+    late_s: float = 2.0
+    rows: dict[RowKey, Entry] = dataclasses.field(default_factory=dict)
+    log: list[tuple[int, RowKey]] = dataclasses.field(default_factory=list)
+    version: int = 0
+    oldest: int = 0
+    faults: dict[str, Fault] = dataclasses.field(default_factory=dict)
+    changed: trio.Event = dataclasses.field(default_factory=trio.Event)
+    calls: int = 0
+
+
+class WirePlace(msgspec.Struct, kw_only=True):
+    """A row in a transaction."""
+
+    table: str
+    key: str
+    part: str = ""
+    ver: int = 0
+    value: str = ""
+
+
+class WireTransaction(msgspec.Struct, kw_only=True):
+    """A transaction: conditions, writes and removals."""
+
+    precondition: list[WirePlace] = []
+    puts: list[WirePlace] = []
+    remove: list[WirePlace] = []
+    across: bool = False
+
+
+def put(state: Metadata, table: str, key: str, value: bytes | None) -> None:
+    """Write a row as the operator does.
+
+    :param state: the store.
+    :param table: its table.
+    :param key: its key.
+    :param value: its value, or ``None`` to remove it.
+    """
+    state.version += 1
+    _write(state, (table, "", key), value)
+    _announce(state)
+
+
+def compact(state: Metadata) -> None:
+    """Discard the history.
+
+    :param state: the store.
+    """
+    state.oldest = state.version
+    state.log.clear()
+
+
+def build_respond(state: Metadata, caller: str) -> http.Respond:
+    """Return what answers the HTTP calls of one caller; ``None`` closes the connection.
+
+    :param state: the store.
+    :param caller: who calls.
+    """
+
+    async def respond(request: http.Request) -> http.Reply | None:
+        state.calls += 1
+        fault = state.faults.get(caller, state.faults.get("", Fault.NONE))
+        await trio.sleep(state.delay_s)
+        if fault is Fault.BUSY:
+            return http.Reply(status=503, body=b"{}")
+        if fault is Fault.LIMIT:
+            return http.Reply(status=429, body=b"{}")
+        if fault is Fault.SILENT:
+            await trio.sleep_forever()
+        if fault is Fault.LATE:
+            await trio.sleep(state.late_s)
+        path, _, query = request.path.partition("?")
+        asked = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+        reply = await _answer(state, request.method, path, asked, request.body)
+        if fault in (Fault.LOST, Fault.LATE):
+            return None
+        return reply
+
+    return respond
+
+
+async def _answer(
+    state: Metadata, method: str, path: str, asked: dict[str, str], body: bytes
+) -> http.Reply:
+    if (method, path) == ("POST", "/rows-tx"):
+        return _transact(state, msgspec.json.decode(body, type=WireTransaction))
+    if (method, path) == ("GET", "/rows-get"):
+        return _get(state, asked)
+    if (method, path) == ("GET", "/rows-feed"):
+        return await _feed(state, asked)
+    return http.Reply(status=404, body=b"{}")
+
+
+def _transact(state: Metadata, asked: WireTransaction) -> http.Reply:
+    everything = [*asked.precondition, *asked.puts, *asked.remove]
+    parts = {place.part for place in everything}
+    if len(everything) > MOST_ENTRIES or (len(parts) > 1 and not asked.across):
+        return http.Reply(status=400, body=b"{}")
+    if any(place.table in ("op", "servers") for place in [*asked.puts, *asked.remove]):
+        return http.Reply(status=403, body=b"{}")
+    for place in asked.precondition:
+        if _read_version(state, _name(place)) != place.ver:
+            rows = [_spell(state, _name(other)) for other in asked.precondition]
+            return _reply(state, 412, rows)
+    state.version += 1
+    for place in asked.puts:
+        _write(state, _name(place), base64.b64decode(place.value))
+    for place in asked.remove:
+        _write(state, _name(place), None)
+    _announce(state)
+    return _reply(state, 200, [])
+
+
+def _get(state: Metadata, asked: dict[str, str]) -> http.Reply:
+    table, part = asked["table"], asked.get("part", "")
+    limit = min(int(asked.get("limit", PAGE_ROWS)), PAGE_ROWS)
+    names = sorted(
+        name
+        for name, entry in state.rows.items()
+        if name[:2] == (table, part)
+        and entry.value is not None
+        and asked.get("from", "") <= name[2]
+        and ("to" not in asked or name[2] < asked["to"])
+    )
+    rows = [_spell(state, name) for name in names[:limit]]
+    return _reply(state, 200, rows, has_more=len(names) > limit)
+
+
+async def _feed(state: Metadata, asked: dict[str, str]) -> http.Reply:
+    table, after = asked["table"], int(asked["after"])
+    with trio.move_on_after(int(asked.get("wait_ms", 0)) / 1000):
+        while after >= state.oldest and not _list_changed(state, table, after):
+            await state.changed.wait()
+    if after < state.oldest:
+        return _reply(state, 410, [])
+    names = _list_changed(state, table, after)
+    return _reply(state, 200, [_spell(state, name) for name in names])
+
+
+def _list_changed(state: Metadata, table: str, after: int) -> list[RowKey]:
+    newest = {name: version for version, name in state.log if version > after and name[0] == table}
+    return sorted(newest, key=lambda name: (newest[name], name))
+
+
+def _name(place: WirePlace) -> RowKey:
+    return place.table, place.part, place.key
+
+
+def _read_version(state: Metadata, name: RowKey) -> int:
+    entry = state.rows.get(name)
+    return 0 if entry is None or entry.value is None else entry.version
+
+
+def _write(state: Metadata, name: RowKey, value: bytes | None) -> None:
+    state.rows[name] = Entry(value=value, version=state.version)
+    state.log.append((state.version, name))
+
+
+def _announce(state: Metadata) -> None:
+    state.changed.set()
+    state.changed = trio.Event()
+
+
+def _spell(state: Metadata, name: RowKey) -> dict[str, object]:
+    table, part, key = name
+    entry = state.rows.get(name)
+    if entry is None:
+        return {"table": table, "part": part, "key": key, "ver": 0}
+    spelled: dict[str, object] = {"table": table, "part": part, "key": key, "ver": entry.version}
+    if entry.value is None:
+        return {**spelled, "removed": True}
+    return {**spelled, "value": base64.b64encode(entry.value).decode()}
+
+
+def _reply(
+    state: Metadata, status: int, rows: list[dict[str, object]], *, has_more: bool = False
+) -> http.Reply:
+    body = {
+        "rows": rows,
+        "ver": state.version,
+        "now_s": round(state.now(), 3),
+        "has_more": has_more,
+    }
+    return http.Reply(status=status, body=msgspec.json.encode(body))
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,141 @@
+"""Contract of the metadata store's client, against the stand-in over HTTP on memory streams."""
+
+import dataclasses
+import functools
+
+import pytest
+import trio
+import trio.testing
+
+from ebonyvalve.platform import store
+from ebonyvalve.process import http
+from ebonyvalve.process.store import table
+from ebonyvalve.standin import metadata
+
+TABLE = table.TableName("mesh")
+
+
+@dataclasses.dataclass(kw_only=True)
+class Setup:
+    state: metadata.Metadata
+    client: store.Client
+    store: table.Store
+
+
+def name_row(key: str) -> table.Name:
+    return table.Name(table=TABLE, key=key)
+
+
+def build(nursery: trio.Nursery) -> Setup:
+    state = metadata.Metadata(now=trio.current_time, delay_s=0.004)
+
+    async def connect(_: str) -> trio.abc.Stream:
+        ours, theirs = trio.testing.memory_stream_pair()
+        nursery.start_soon(
+            functools.partial(http.serve, metadata.build_respond(state, "n1"), theirs)
+        )
+        return ours
+
+    client = store.Client(address="10.0.0.1:1", connect=connect, now=trio.current_time)
+    return Setup(state=state, client=client, store=store.open_store(client))
+
+
+async def test_commit_under_a_condition(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Two writers of one version: the second learns what the first has written."""
+    setup = build(nursery)
+    first = await setup.store.commit({name_row("a"): 0}, {name_row("a"): b"one"})
+    assert isinstance(first, table.Committed)
+    assert first.clock is not None
+    second = await setup.store.commit({name_row("a"): 0}, {name_row("a"): b"two"})
+    assert isinstance(second, table.Conflict)
+    assert second.rows[0].value == b"one"
+    assert second.rows[0].version == first.version
+    third = await setup.store.commit({name_row("a"): first.version}, {name_row("a"): None})
+    assert isinstance(third, table.Committed)
+    read = await setup.store.read(TABLE)
+    assert isinstance(read, table.Rows)
+    assert read.rows == ()
+
+
+async def test_all_pages_are_read(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """A page holds 500 rows; the next one begins after its last key."""
+    setup = build(nursery)
+    for number in range(1203):
+        metadata.put(setup.state, TABLE, f"row-{number:05}", b"x")
+    read = await setup.store.read(TABLE)
+    assert isinstance(read, table.Rows)
+    assert len({row.name for row in read.rows}) == 1203
+
+
+async def test_follow_returns_changes_and_removals(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """A follow ends as soon as something changes, and marks rows that went."""
+    setup = build(nursery)
+    metadata.put(setup.state, TABLE, "a", b"one")
+    nursery.start_soon(_remove_later, setup.state)
+    started_at = trio.current_time()
+    read = await setup.store.follow(TABLE, setup.state.version, 20.0)
+    assert isinstance(read, table.Rows)
+    assert [(row.name.key, row.is_removed) for row in read.rows] == [("a", True)]
+    assert trio.current_time() - started_at < 3.0
+
+
+async def _remove_later(state: metadata.Metadata) -> None:
+    await trio.sleep(2.0)
+    metadata.put(state, TABLE, "a", None)
+
+
+async def test_follow_of_lost_history(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """The store may discard its history sooner than it says."""
+    setup = build(nursery)
+    metadata.put(setup.state, TABLE, "a", b"one")
+    metadata.put(setup.state, TABLE, "a", b"two")
+    metadata.compact(setup.state)
+    assert await setup.store.follow(TABLE, 1, 1.0) is table.Trouble.HISTORY_GONE
+
+
+@pytest.mark.parametrize(
+    ("fault", "trouble", "is_applied"),
+    [
+        (metadata.Fault.BUSY, table.Trouble.UNAVAILABLE, False),
+        (metadata.Fault.LIMIT, table.Trouble.UNAVAILABLE, False),
+        (metadata.Fault.SILENT, table.Trouble.UNKNOWN, False),
+        (metadata.Fault.LOST, table.Trouble.UNKNOWN, True),
+        (metadata.Fault.LATE, table.Trouble.UNKNOWN, True),
+    ],
+)
+async def test_what_is_known_after_a_fault(
+    nursery: trio.Nursery,
+    autojump_clock: trio.testing.MockClock,
+    fault: metadata.Fault,
+    trouble: table.Trouble,
+    is_applied: bool,
+) -> None:
+    """Only a refusal says that nothing was done; after no answer a write may be applied."""
+    setup = build(nursery)
+    setup.state.faults["n1"] = fault
+    assert await setup.store.commit({name_row("a"): 0}, {name_row("a"): b"one"}) is trouble
+    await trio.sleep(setup.state.late_s + 1)
+    setup.state.faults.clear()
+    read = await setup.store.read(TABLE)
+    assert isinstance(read, table.Rows)
+    assert bool(read.rows) == is_applied
+
+
+async def test_store_that_accepts_no_connection(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Nothing was sent, so that nothing was done."""
+
+    async def connect(_: str) -> trio.abc.Stream:
+        raise OSError("refused")
+
+    client = store.Client(address="10.0.0.1:1", connect=connect, now=trio.current_time)
+    assert await store.open_store(client).read(TABLE) is table.Trouble.UNAVAILABLE
--- /dev/null
+++ b/tests/process/keyspace/test_grant.py
@@ -0,0 +1,166 @@
+"""Explores every order of reports, answers and losses for two owners of one key."""
+
+import collections
+import dataclasses
+
+from ebonyvalve.process import identity
+from ebonyvalve.process.keyspace import grant, ledger, lease
+
+X = identity.Lifetime("x@1")
+Y = identity.Lifetime("y@1")
+HOLD_S = 4.0
+STEP_S = 1.0
+DEPTH = 9
+
+
+def build_book(*, is_moving: bool) -> ledger.Ledger:
+    span = ledger.Span(
+        first=0,
+        last=identity.LAST_SLOT,
+        fence=1,
+        node="nx",
+        holder=X,
+        heir=Y if is_moving else "",
+        heir_node="ny" if is_moving else "",
+    )
+    return ledger.Ledger(spans=(span,))
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class World:
+    """A target with a hold, its node's view, and a message under way in each direction."""
+
+    now: float
+    is_moving: bool
+    target_until: float
+    target_sequence: int
+    is_releasing: bool
+    node: tuple[object, ...]
+    report: tuple[int, bool, float] | None
+    answer: tuple[bool, float, float] | None
+
+
+def pack(state: grant.Grantor) -> tuple[object, ...]:
+    return (
+        state.sequence,
+        state.ends_at,
+        state.holds,
+        tuple(sorted(state.withheld.items())),
+        state.granted,
+    )
+
+
+def unpack(packed: tuple[object, ...]) -> grant.Grantor:
+    sequence, ends_at, holds, withheld, granted = packed
+    return grant.Grantor(
+        lifetime=X,
+        sequence=sequence,  # type: ignore[arg-type]
+        ends_at=ends_at,  # type: ignore[arg-type]
+        holds=holds,  # type: ignore[arg-type]
+        withheld=dict(withheld),  # type: ignore[call-overload]
+        granted=granted,  # type: ignore[arg-type]
+    )
+
+
+def list_next(world: World) -> list[World]:
+    """Return what may happen next: time, a move, a report, its arrival, its answer, a restart."""
+    change = dataclasses.replace
+    state = unpack(world.node)
+    worlds = [change(world, now=world.now + STEP_S)]
+    if not world.is_moving:
+        worlds.append(change(world, is_moving=True))
+    holds = world.now < world.target_until
+    if world.report is None and world.answer is None:
+        # One report at a time; it is given up after a second without an answer.
+        sequence = world.target_sequence + 1
+        worlds.append(change(world, report=(sequence, holds, world.now), target_sequence=sequence))
+    if world.report is not None:
+        sequence, reported, sent_at = world.report
+        worlds.append(change(world, report=None))
+        holds_rows = ((0, identity.LAST_SLOT, 1),) if reported else ()
+        grant.take_report(
+            state,
+            grant.Report(lifetime=X, sequence=sequence, holds=holds_rows, released=()),
+        )
+        given = grant.answer(
+            state, build_book(is_moving=world.is_moving), now=world.now, hold_s=HOLD_S
+        )
+        is_granted = bool(given.spans)
+        worlds.append(
+            change(world, node=pack(state), report=None, answer=(is_granted, sent_at, given.hold_s))
+        )
+    if world.answer is not None:
+        is_granted, sent_at, hold_s = world.answer
+        worlds.append(change(world, answer=None))
+        if world.now - sent_at <= STEP_S:
+            # The target counts its hold from when it sent the report, on a clock 2% slow.
+            until = sent_at + hold_s * 1.02 if is_granted else 0.0
+            worlds.append(change(world, answer=None, target_until=until))
+    fresh = grant.start(now=world.now, most_hold_s=HOLD_S)
+    fresh.lifetime = X
+    worlds.append(change(world, node=pack(fresh), report=None, answer=None))
+    return worlds
+
+
+def test_no_order_of_events_frees_keys_that_are_held() -> None:
+    """Lost and late messages, restarts of the node and slow clocks must not make two owners."""
+    state = grant.start(now=0.0, most_hold_s=HOLD_S)
+    state.lifetime = X
+    first = World(
+        now=0.0,
+        is_moving=False,
+        target_until=HOLD_S,
+        target_sequence=0,
+        is_releasing=False,
+        node=pack(state),
+        report=None,
+        answer=None,
+    )
+    queue = collections.deque([(first, 0)])
+    seen = {first}
+    freed = 0
+    while queue:
+        world, depth = queue.popleft()
+        if world.is_moving:
+            free = grant.find_released(unpack(world.node), build_book(is_moving=True), world.now)
+            if free:
+                freed += 1
+                late = (
+                    world.answer is not None
+                    and world.answer[0]
+                    and world.now - world.answer[1] <= STEP_S
+                )
+                assert world.now >= world.target_until, world
+                assert not late, world
+        if depth == DEPTH:
+            continue
+        for following in list_next(world):
+            if following not in seen:
+                seen.add(following)
+                queue.append((following, depth + 1))
+    assert freed, "the exploration must reach worlds in which keys are freed"
+    assert len(seen) > 1000
+
+
+def test_handover_of_a_wider_release_is_used() -> None:
+    """A target may report a release as one range though the ledger has cut it."""
+    state = grant.Grantor(lifetime=X, sequence=5)
+    state.released.append((0, 999, "token"))
+    state.withheld[(0, identity.LAST_SLOT)] = 4
+    book = build_book(is_moving=True)
+    assert grant.find_released(state, book, 0.0) == {0: ""}
+    state.released.append((0, identity.LAST_SLOT, "whole"))
+    assert grant.find_released(state, book, 0.0) == {0: "whole"}
+
+
+def test_nothing_is_granted_without_a_lease() -> None:
+    """An answer without holds renews nothing."""
+    state = grant.Grantor(lifetime=X)
+    given = grant.answer(state, build_book(is_moving=False), now=0.0, hold_s=0.0)
+    assert given.spans is None
+    assert not grant.is_granted(state, 5, 0.0)
+
+
+def test_end_of_a_hold_counts_the_slow_clock() -> None:
+    """A target whose clock runs 2% slow holds its keys 2% longer."""
+    assert lease.find_end(0.0, 10.0) >= 10.2
--- /dev/null
+++ b/tests/process/keyspace/test_lease.py
@@ -0,0 +1,55 @@
+"""A node stops granting before another may take its keys, on whatever clocks."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from ebonyvalve.process.keyspace import lease
+
+
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+@hypothesis.given(
+    renewed_at=st.floats(0, 100),
+    answer_s=st.floats(0, 2),
+    waited_s=st.floats(0, 20),
+    taker_delay_s=st.floats(0, 5),
+    drift=st.floats(-lease.NODE_DRIFT, lease.NODE_DRIFT),
+    target_slowness=st.floats(0, lease.TARGET_DRIFT),
+)
+def test_hold_ends_before_the_lease_is_over(
+    renewed_at: float,
+    answer_s: float,
+    waited_s: float,
+    taker_delay_s: float,
+    drift: float,
+    target_slowness: float,
+) -> None:
+    """The store's clock decides when keys are taken; the target's clock may run 2% slow."""
+    # The node reads the store's clock at renewed_at, with an answer that takes answer_s.
+    clock = lease.StoreClock(
+        asked_at=renewed_at, answered_at=renewed_at + answer_s, read_s=1000 + answer_s / 2
+    )
+    until_s = lease.read_latest(clock, renewed_at) + lease.LEASE_S
+    row = lease.LeaseRow(until_s=until_s, incarnation="a")
+    granted_at = renewed_at + answer_s + waited_s
+    hold_s = lease.find_hold(row, clock, granted_at, 10.0)
+    # True time on the store's clock when the target's hold ends.
+    node_elapsed = (granted_at - renewed_at) / (1 + drift)
+    ends = 1000 + node_elapsed + hold_s * (1 + target_slowness) if hold_s else 0.0
+    taker = lease.StoreClock(asked_at=0.0, answered_at=taker_delay_s, read_s=ends - taker_delay_s)
+    if hold_s:
+        assert not lease.is_over(row, taker, taker_delay_s)
+
+
+def test_node_survives_an_outage_of_the_store() -> None:
+    """A store that is away for 9 s must not cost the keys of a living node."""
+    clock = lease.StoreClock(asked_at=0.0, answered_at=0.01, read_s=50.0)
+    row = lease.LeaseRow(until_s=50.0 + lease.LEASE_S, incarnation="a")
+    assert lease.find_hold(row, clock, 9.0, 10.0) > 2.0
+
+
+def test_no_lease_grants_nothing() -> None:
+    """A node that has not read the store grants nothing."""
+    clock = lease.StoreClock(asked_at=0.0, answered_at=0.01, read_s=50.0)
+    assert lease.find_hold(None, clock, 1.0, 10.0) == 0.0
+    row = lease.LeaseRow(until_s=62.0, incarnation="a")
+    assert lease.find_hold(row, None, 1.0, 10.0) == 0.0
--- /dev/null
+++ b/tests/process/keyspace/test_ledger.py
@@ -0,0 +1,129 @@
+"""The ledger covers every key exactly once, whatever happens to it."""
+
+import hypothesis
+from hypothesis import strategies as st
+import msgspec
+import pytest
+
+from ebonyvalve.process import identity
+from ebonyvalve.process.keyspace import ledger
+
+NAMES = [f"t{number}@1" for number in range(4)]
+
+
+def build_candidate(number: int, weight: float = 1.0) -> ledger.Candidate:
+    return ledger.Candidate(
+        node=identity.NodeId(f"n{number}"),
+        lifetime=identity.Lifetime(NAMES[number]),
+        weight=weight,
+    )
+
+
+def assert_covers(book: ledger.Ledger) -> None:
+    following = 0
+    for span in book.spans:
+        assert span.first == following, book
+        assert span.last >= span.first
+        following = span.last + 1
+    assert following == identity.LAST_SLOT + 1
+
+
+def count_keys(book: ledger.Ledger, name: str) -> int:
+    return sum(span.last - span.first + 1 for span in book.spans if span.holder == name)
+
+
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("vacate"), st.integers(0, 3), st.just(0), st.just(0)),
+        st.tuples(
+            st.just("move"),
+            st.integers(0, 3),
+            st.integers(0, identity.LAST_SLOT),
+            st.integers(0, identity.LAST_SLOT),
+        ),
+        st.tuples(st.just("pass"), st.integers(0, 30), st.just(0), st.just(0)),
+        st.tuples(st.just("exit"), st.integers(0, 3), st.just(0), st.just(0)),
+        st.tuples(st.just("cancel"), st.integers(0, 3), st.just(0), st.just(0)),
+    ),
+    max_size=12,
+)
+
+
+def take_step(book: ledger.Ledger, step: tuple[str, int, int, int]) -> ledger.Ledger:
+    kind, number, first, last = step
+    everyone = [build_candidate(one) for one in range(4)]
+    if kind == "vacate":
+        left = [one for one in everyone if one.lifetime != NAMES[number]]
+        vacant = ledger.vacate(book, lambda span: span.holder == NAMES[number])
+        return ledger.assign_vacant(vacant, left)
+    if kind == "move":
+        return ledger.order_move(book, min(first, last), max(first, last), everyone[number])
+    if kind == "pass":
+        moving = [span.first for span in book.spans if span.heir]
+        return ledger.pass_on(book, dict.fromkeys(moving[: number + 1], "handover"))
+    if kind == "exit":
+        return ledger.order_exit(book, identity.Lifetime(NAMES[number]), everyone)
+    return ledger.cancel_moves(book, lambda span: span.heir == NAMES[number])
+
+
+@hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
+@hypothesis.given(steps=STEPS)
+def test_every_key_has_one_span_and_fences_only_rise(
+    steps: list[tuple[str, int, int, int]],
+) -> None:
+    """A key with two spans would have two owners; a lower fence would be refused for ever."""
+    book = ledger.create([build_candidate(number) for number in range(3)])
+    probes = range(0, identity.LAST_SLOT + 1, 4111)
+    for step in steps:
+        before = book
+        book = take_step(book, step)
+        assert_covers(book)
+        assert ledger.decode(ledger.encode(book)) == book
+        for slot in probes:
+            old, new = ledger.find(before, slot), ledger.find(book, slot)
+            assert new.fence >= old.fence
+            if new.holder != old.holder and new.holder:
+                assert new.fence > old.fence, "a new holder needs a higher fence"
+
+
+def test_first_ledger_divides_by_weight() -> None:
+    """A target with twice the slots gets twice the keys."""
+    book = ledger.create([build_candidate(0, 2.0), build_candidate(1), build_candidate(2)])
+    size = identity.LAST_SLOT + 1
+    assert count_keys(book, NAMES[0]) == pytest.approx(size / 2, abs=2)
+    assert count_keys(book, NAMES[1]) == pytest.approx(size / 4, abs=2)
+
+
+def test_lost_targets_keys_go_to_several_others() -> None:
+    """One heir for all keys of a lost target would be overloaded at once."""
+    book = ledger.create([build_candidate(number) for number in range(4)])
+    others = [build_candidate(number) for number in range(3)]
+    vacant = ledger.vacate(book, lambda span: span.holder == NAMES[3])
+    taken = ledger.assign_vacant(vacant, others)
+    assert_covers(taken)
+    for number in range(3):
+        assert count_keys(taken, NAMES[number]) == pytest.approx(65_536 / 3, abs=2)
+
+
+def test_targets_without_weight_get_nothing() -> None:
+    """Draining, evacuated and lost targets stand with weight 0."""
+    book = ledger.create([build_candidate(0), build_candidate(1, 0.0)])
+    assert count_keys(book, NAMES[1]) == 0
+
+
+def test_moving_span_stays_with_its_holder_until_passed_on() -> None:
+    """The heir must not be granted keys which the holder still has."""
+    book = ledger.create([build_candidate(0), build_candidate(1)])
+    moving = ledger.order_move(book, 0, 99, build_candidate(1))
+    assert ledger.find(moving, 5).holder == NAMES[0]
+    assert ledger.find(moving, 5).heir == NAMES[1]
+    assert not ledger.find(moving, 100).heir
+    passed = ledger.pass_on(moving, {0: "abc"})
+    span = ledger.find(passed, 5)
+    assert (span.holder, span.heir, span.handover, span.fence) == (NAMES[1], "", "abc", 2)
+
+
+def test_unreadable_row_is_an_error() -> None:
+    """The last good ledger stays; a broken row must not pass for an empty one."""
+    with pytest.raises(msgspec.DecodeError):
+        ledger.decode(b'{"spans":[[0,1]]}')
--- /dev/null
+++ b/tests/process/keyspace/test_steward.py
@@ -0,0 +1,423 @@
+"""Histories of whole nodes on one store: no key has two owners, and keys come back."""
+
+import collections.abc
+import dataclasses
+import functools
+import itertools
+import random
+
+import pytest
+import trio
+import trio.testing
+
+from ebonyvalve.platform import store as store_module
+from ebonyvalve.process import budget, http, identity, member, place
+from ebonyvalve.process import node as node_module
+from ebonyvalve.process.keyspace import grant, lease, ledger, steward
+from ebonyvalve.process.load import gate, heat
+from ebonyvalve.standin import metadata
+from ebonyvalve.version import traffic
+
+SERVICE = identity.ServiceId("lookup")
+HEARTBEAT_S = 0.9
+ANSWER_LIMIT_S = 1.0
+MOST_HOLD_S = 10.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class Target:
+    """A target that keeps what it is granted, on a clock that runs 2% slow."""
+
+    name: str
+    born: int
+    sequence: int = 0
+    until: float = 0.0
+    holds: dict[tuple[int, int], int] = dataclasses.field(default_factory=dict)
+    released: list[tuple[int, int, str]] = dataclasses.field(default_factory=list)
+    highest: int = 0
+    state: member.TargetState = member.TargetState.READY
+
+
+@dataclasses.dataclass(kw_only=True)
+class Machine:
+    name: identity.NodeId
+    number: int
+    scope: trio.CancelScope | None = None
+    keeper: steward.Steward | None = None
+    target: Target | None = None
+    is_frozen: bool = False
+
+
+@dataclasses.dataclass(kw_only=True)
+class World:
+    state: metadata.Metadata
+    nursery: trio.Nursery
+    machines: list[Machine]
+    births: collections.abc.Iterator[int]
+    violations: list[str] = dataclasses.field(default_factory=list)
+
+
+def build_place(name: identity.NodeId) -> place.Place:
+    address = identity.Address(f"{name}:1")
+    return place.Place(
+        node=name,
+        zone=identity.ZoneId("z1"),
+        service=SERVICE,
+        target_address=address,
+        callers_address=address,
+        peers_address=address,
+        ready_address=address,
+        reports_address=address,
+        store_address=identity.Address("store:1"),
+        heartbeat_s=HEARTBEAT_S,
+        most_hold_s=MOST_HOLD_S,
+        drain_s=2.0,
+        grace_s=6.0,
+        cold_excess=1.5,
+        cold_slack=5.0,
+        retries=place.RetryAllowance(),
+    )
+
+
+def build_config() -> traffic.Traffic:
+    policy = traffic.ServicePolicy(
+        name=SERVICE,
+        is_keyed=True,
+        max_connections=100,
+        cold_s=3.0,
+        cold_rate=20.0,
+        warm_up_s=3.0,
+        health_path="/",
+    )
+    return traffic.build(
+        version=identity.ConfigVersion(1), routes=[], services=[policy], limits=traffic.Limits()
+    )
+
+
+def build_keeper(world: World, machine: Machine) -> steward.Steward:
+    async def connect(address: str) -> trio.abc.Stream:
+        if address != "store:1":
+            raise OSError("nodes learn from the store only in this test")
+        ours, theirs = trio.testing.memory_stream_pair()
+        respond = metadata.build_respond(world.state, machine.name)
+        world.nursery.start_soon(functools.partial(http.serve, respond, theirs))
+        return ours
+
+    now = trio.current_time
+    rng = random.Random(machine.number)
+    node = node_module.Node(
+        place=build_place(machine.name),
+        incarnation=identity.Incarnation(str(next(world.births))),
+        now=now,
+        draw=rng.random,
+        gate=gate.Gate(slots=1, cold_rate=0.0),
+        grantor=grant.start(now=now(), most_hold_s=steward.find_hold(HEARTBEAT_S)),
+        budget=budget.Budget(share=0.1),
+        heat=heat.Heat(at=now()),
+        config=build_config(),
+    )
+    client = store_module.Client(address="store:1", connect=connect, now=now)
+    return steward.Steward(node=node, store=store_module.open_store(client), connect=connect)
+
+
+async def run_node(world: World, machine: Machine) -> None:
+    with trio.CancelScope() as machine.scope:
+        keeper = machine.keeper = build_keeper(world, machine)
+        async with trio.open_nursery() as nursery:
+            for task in (
+                steward.follow_mesh,
+                steward.announce,
+                steward.keep_lease,
+                steward.tend,
+                steward.push_ledger,
+            ):
+                nursery.start_soon(task, keeper)
+    machine.keeper = None
+
+
+async def run_target(machine: Machine, target: Target) -> None:
+    """Send reports as the protocol says, until the target has been replaced."""
+    while machine.target is target:
+        drop_lapsed(target)
+        keeper = machine.keeper
+        is_pending = False
+        if keeper is not None and not machine.is_frozen:
+            is_pending = await report(machine, keeper, target)
+        await trio.sleep(0.1 if is_pending else HEARTBEAT_S)
+
+
+def drop_lapsed(target: Target) -> None:
+    if trio.current_time() >= target.until:
+        target.holds.clear()
+
+
+async def report(machine: Machine, keeper: steward.Steward, target: Target) -> bool:
+    target.sequence += 1
+    sent_at = trio.current_time()
+    rows = tuple((first, last, fence) for (first, last), fence in target.holds.items())
+    released, target.released = tuple(target.released), []
+    node = keeper.node
+    grant.take_report(
+        node.grantor,
+        grant.Report(
+            lifetime=name_lifetime(target),
+            sequence=target.sequence,
+            holds=rows,
+            released=released,
+        ),
+    )
+    node_module.set_target(
+        node,
+        node_module.Target(
+            lifetime=name_lifetime(target),
+            born_ms=target.born,
+            slots=6,
+            state=target.state,
+            reported_at=sent_at,
+        ),
+        0.0,
+    )
+    await steward.await_keys(keeper)
+    given = steward.answer_report(keeper)
+    is_late = trio.current_time() - sent_at > ANSWER_LIMIT_S
+    if machine.target is not target or machine.keeper is not keeper or is_late:
+        return False
+    return take_grant(target, given, sent_at)
+
+
+def name_lifetime(target: Target) -> identity.Lifetime:
+    return identity.Lifetime(f"{target.name}@{target.born}")
+
+
+def take_grant(target: Target, given: grant.Grant | None, sent_at: float) -> bool:
+    if given is None or given.spans is None:
+        return False
+    rows = {(span.first, span.last): span.fence for span in given.spans}
+    dropped = [row for row in target.holds if row not in rows]
+    target.released.extend((first, last, f"h{first}") for first, last in dropped)
+    target.holds = rows
+    target.until = sent_at + given.hold_s * (1 + lease.TARGET_DRIFT)
+    return bool(dropped)
+
+
+def start_target(world: World, machine: Machine) -> None:
+    machine.target = Target(name=f"t{machine.number}", born=next(world.births))
+    world.nursery.start_soon(run_target, machine, machine.target)
+
+
+async def watch(world: World) -> None:
+    """Check at every moment that no key has two owners."""
+    while True:
+        rows = []
+        for machine in world.machines:
+            if machine.target is not None:
+                drop_lapsed(machine.target)
+                rows.extend((*row, machine.name) for row in machine.target.holds)
+        rows.sort()
+        for one, other in itertools.pairwise(rows):
+            if other[0] <= one[1] and other[2] != one[2]:
+                world.violations.append(f"{trio.current_time():.2f}: {one} and {other}")
+        await trio.sleep(0.01)
+
+
+def count_held(world: World) -> int:
+    return sum(
+        last - first + 1
+        for machine in world.machines
+        if machine.target is not None
+        for first, last in machine.target.holds
+    )
+
+
+async def build_world(nursery: trio.Nursery, count: int = 4) -> World:
+    world = World(
+        state=metadata.Metadata(now=trio.current_time, delay_s=0.004),
+        nursery=nursery,
+        machines=[],
+        births=itertools.count(1),
+    )
+    for number in range(count):
+        machine = Machine(name=identity.NodeId(f"n{number}"), number=number)
+        world.machines.append(machine)
+        nursery.start_soon(run_node, world, machine)
+        start_target(world, machine)
+    nursery.start_soon(watch, world)
+    await trio.sleep(6.0)
+    return world
+
+
+def stop_node(machine: Machine) -> None:
+    assert machine.scope is not None
+    machine.scope.cancel()
+
+
+def is_whole(world: World) -> bool:
+    return count_held(world) == identity.LAST_SLOT + 1
+
+
+async def wait_whole(world: World, limit_s: float) -> float:
+    """Return how many seconds it takes until all keys are held."""
+    started_at = trio.current_time()
+    while trio.current_time() - started_at < limit_s:
+        if is_whole(world):
+            return trio.current_time() - started_at
+        await trio.sleep(0.05)
+    pytest.fail(f"{count_held(world)} keys are held after {limit_s} s: {world.violations}")
+
+
+async def test_all_keys_are_granted_at_the_start(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Traffic starts 10 s after the machines."""
+    world = await build_world(nursery)
+    await wait_whole(world, 2.0)
+    assert len({machine.name for machine in world.machines if machine.target}) == 4
+    assert all(machine.target and machine.target.holds for machine in world.machines)
+    assert world.violations == []
+
+
+async def test_crashed_target_beside_a_living_node(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """The node beside it knows at once, so that nothing needs to lapse first."""
+    world = await build_world(nursery)
+    machine = world.machines[1]
+    machine.target = None
+    assert machine.keeper is not None
+    node_module.set_gone(machine.keeper.node, "refuses connections", is_dead=True)
+    assert await wait_whole(world, 3.0) < 2.5
+    assert world.violations == []
+
+
+async def test_restarted_target_holds_nothing_of_before(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """A target may start again under its old name."""
+    world = await build_world(nursery)
+    start_target(world, world.machines[1])
+    await trio.sleep(0.01)
+    await wait_whole(world, 4.0)
+    assert world.violations == []
+
+
+async def test_lost_machine(nursery: trio.Nursery, autojump_clock: trio.testing.MockClock) -> None:
+    """Without the node nobody can say more than when its lease ends."""
+    world = await build_world(nursery)
+    machine = world.machines[0]
+    stop_node(machine)
+    machine.target = None
+    assert await wait_whole(world, 18.0) < lease.LEASE_S + lease.RENEW_S + 1.5
+    assert world.violations == []
+
+
+async def test_node_that_restarts_beside_a_living_target(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """The keys stay where they are."""
+    world = await build_world(nursery)
+    machine = world.machines[0]
+    assert machine.target is not None
+    before = dict(machine.target.holds)
+    stop_node(machine)
+    await trio.sleep(1.5)
+    nursery.start_soon(run_node, world, machine)
+    await trio.sleep(6.0)
+    assert machine.target.holds == before
+    assert world.violations == []
+
+
+async def test_store_away_for_nine_seconds(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """An outage of the store alone costs no keys."""
+    world = await build_world(nursery)
+    world.state.faults[""] = metadata.Fault.SILENT
+    for _ in range(90):
+        await trio.sleep(0.1)
+        assert is_whole(world), trio.current_time()
+    world.state.faults.clear()
+    await trio.sleep(5.0)
+    await wait_whole(world, 1.0)
+    assert world.violations == []
+
+
+async def test_leaving_target_hands_over(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """A target gets new work for two seconds after its report was answered."""
+    world = await build_world(nursery)
+    machine = world.machines[2]
+    assert machine.target is not None
+    machine.target.state = member.TargetState.LEAVING
+    await trio.sleep(3.5)
+    assert machine.target.holds == {}
+    await wait_whole(world, 1.0)
+    assert world.violations == []
+    book = ledger.decode(world.state.rows[("mesh", "", f"book/{SERVICE}")].value or b"")
+    assert any(span.handover for span in book.spans)
+
+
+async def test_newcomer_gets_keys(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """A target that joins takes its part."""
+    world = await build_world(nursery)
+    machine = Machine(name=identity.NodeId("n9"), number=9)
+    world.machines.append(machine)
+    nursery.start_soon(run_node, world, machine)
+    start_target(world, machine)
+    await trio.sleep(6.0)
+    assert machine.target is not None and machine.target.holds
+    assert world.violations == []
+
+
+FAULTS = ["kill-node", "crash-target", "restart-target", "freeze", "store", "store-some", "leave"]
+
+
+async def do_fault(world: World, rng: random.Random, kind: str) -> None:
+    machine = rng.choice(world.machines)
+    if kind == "kill-node" and machine.keeper is not None:
+        stop_node(machine)
+        await trio.sleep(rng.choice([0.5, 2.0, 14.0]))
+        world.nursery.start_soon(run_node, world, machine)
+    elif kind == "crash-target" and machine.keeper is not None:
+        machine.target = None
+        node_module.set_gone(machine.keeper.node, "refuses connections", is_dead=True)
+        await trio.sleep(rng.choice([1.0, 4.0]))
+        start_target(world, machine)
+    elif kind == "restart-target":
+        start_target(world, machine)
+    elif kind == "freeze":
+        # The target's reports do not come through.
+        machine.is_frozen = True
+        await trio.sleep(rng.choice([2.0, 6.0, 12.0]))
+        machine.is_frozen = False
+    elif kind == "leave" and machine.target is not None:
+        machine.target.state = member.TargetState.LEAVING
+        await trio.sleep(3.0)
+        machine.target.state = member.TargetState.READY
+    elif kind.startswith("store"):
+        names = [""] if kind == "store" else [one.name for one in world.machines[:2]]
+        fault = rng.choice(list(metadata.Fault))
+        for name in names:
+            world.state.faults[name] = fault
+        await trio.sleep(rng.choice([1.0, 5.0, 14.0]))
+        for name in names:
+            world.state.faults.pop(name, None)
+
+
+@pytest.mark.parametrize("seed", range(24))
+async def test_histories_with_faults(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock, seed: int
+) -> None:
+    """Two faults at a time, one after the other, and all keys are back in the end."""
+    rng = random.Random(seed)
+    world = await build_world(nursery)
+    for _ in range(3):
+        kinds = rng.sample(FAULTS, 2)
+        async with trio.open_nursery() as faults:
+            for kind in kinds:
+                faults.start_soon(do_fault, world, rng, kind)
+        await trio.sleep(rng.random() * 3)
+    await wait_whole(world, 25.0)
+    assert world.violations == [], (seed, world.violations[:3])
--- /dev/null
+++ b/tests/process/load/test_choice.py
@@ -0,0 +1,83 @@
+"""Load patterns over several targets: uneven speeds, losses, stale reports."""
+
+import random
+
+from ebonyvalve.process import identity
+from ebonyvalve.process.load import choice
+
+NAMES = [identity.NodeId(f"n{number}") for number in range(4)]
+
+
+def build_views(works_s: list[float], slots: int = 6) -> dict[identity.NodeId, choice.View]:
+    return {
+        name: choice.View(slots=slots, work_s=work_s, reported_at=0.0)
+        for name, work_s in zip(NAMES, works_s, strict=False)
+    }
+
+
+def test_targets_of_different_speed_finish_alike() -> None:
+    """Targets whose speeds differ by more than two get work by what they can do."""
+    rng = random.Random(3)
+    works_s = [0.06, 0.1, 0.1, 0.14]
+    views = build_views(works_s)
+    ends: list[tuple[float, identity.NodeId, float]] = []
+    counts = dict.fromkeys(NAMES, 0)
+    waits = []
+    now = 0.0
+    free_at = {name: [0.0] * 6 for name in NAMES}
+    for _ in range(4000):
+        now += rng.expovariate(170)
+        for end, name, work_s in [one for one in ends if one[0] <= now]:
+            views[name].outstanding -= 1
+            busy = sum(1 for at in free_at[name] if at > now)
+            report = choice.Report(busy=busy, slots=6, work_s=work_s, offered=0.0)
+            choice.note_load(views[name], report, end)
+        ends = [one for one in ends if one[0] > now]
+        name = choice.choose(views, set(NAMES), now, rng.random)
+        assert name is not None
+        counts[name] += 1
+        views[name].outstanding += 1
+        slot = min(range(6), key=lambda one: free_at[name][one])
+        start = max(now, free_at[name][slot])
+        waits.append(start - now)
+        work_s = works_s[NAMES.index(name)]
+        free_at[name][slot] = start + work_s
+        ends.append((start + work_s, name, work_s))
+    assert counts[NAMES[0]] > counts[NAMES[3]]
+    waits.sort()
+    assert waits[int(len(waits) * 0.95)] < 0.1
+
+
+def test_lost_target_is_passed_by_and_tried_again() -> None:
+    """A crashed target must not get each second request, nor be forgotten."""
+    views = build_views([0.1, 0.1])
+    choice.note_failure(views[NAMES[0]], 0.0)
+    picks = {choice.choose(views, set(), 0.1, lambda: 0.5) for _ in range(5)}
+    assert picks == {NAMES[1]}
+    views[NAMES[1]].outstanding = 30
+    assert choice.choose(views, set(), 1.0, lambda: 0.5) == NAMES[0]
+
+
+def test_repeated_losses_are_avoided_longer_up_to_a_bound() -> None:
+    """A target that is gone costs fewer and fewer tries."""
+    view = build_views([0.1])[NAMES[0]]
+    spans = []
+    for _ in range(6):
+        choice.note_failure(view, 0.0)
+        spans.append(view.avoid_until)
+    assert spans == sorted(spans)
+    assert spans[-1] == choice.MOST_AVOID_S
+
+
+def test_own_zone_is_preferred_until_it_waits() -> None:
+    """Bytes between zones cost, but less than a caller's wait."""
+    views = build_views([0.1, 0.1])
+    near = {NAMES[0]}
+    assert choice.choose(views, near, 0.0, lambda: 0.5) == NAMES[0]
+    views[NAMES[0]].outstanding = 20
+    assert choice.choose(views, near, 0.0, lambda: 0.5) == NAMES[1]
+
+
+def test_nothing_to_choose() -> None:
+    """A service without targets has no answer rather than an error."""
+    assert choice.choose({}, set(), 0.0, lambda: 0.5) is None
