Let body reader and answer write one after the other, and test the whole path on loopback

Cause: at a node that takes hops, the reader of a long body sent its interim answer while, or after, the answer of the target was sent: two writers at once, or an interim answer in the middle of one. The connection broke off. Change: writes of a connection are serialised, and nothing is asked for once the answer has begun. Configuration types moved so that the process does not import the version's state.

--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -32,6 +32,8 @@
     http: h11.Connection
     progress: int = 0
     is_reused: bool = False
+    # One task may read a body while another answers; both may have to write.
+    sending: trio.Lock = dataclasses.field(default_factory=trio.Lock)
 
 
 EventResult = result.Result[h11.Event | type[h11.PAUSED], WireFailure]
@@ -72,9 +74,8 @@
         if event is not h11.NEED_DATA:
             return result.Success(event)  # type: ignore[arg-type]
         if wire.http.they_are_waiting_for_100_continue:
-            sent = await send(wire, h11.InformationalResponse(status_code=100, headers=[]))
-            if isinstance(sent, result.Failure):
-                return result.Failure(sent.failure())
+            if not await send_continue(wire):
+                return result.Failure(WireFailure.CLOSED)
         try:
             data = await wire.stream.receive_some(READ_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -90,10 +91,11 @@
     :param events: what to write, in order.
     """
     try:
-        parts = [wire.http.send(event) for event in events]
-        data = b"".join(part for part in parts if part)
-        if data:
-            await wire.stream.send_all(data)
+        async with wire.sending:
+            parts = [wire.http.send(event) for event in events]
+            data = b"".join(part for part in parts if part)
+            if data:
+                await wire.stream.send_all(data)
     except h11.LocalProtocolError:
         return result.Failure(WireFailure.MALFORMED)
     except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -101,6 +103,22 @@
     return result.Success(None)
 
 
+async def send_continue(wire: Wire) -> bool:
+    """Ask for the rest of a body, unless the answer has begun; return whether the peer is there.
+
+    :param wire: a server's side.
+    """
+    async with wire.sending:
+        if wire.http.our_state is not h11.SEND_RESPONSE:
+            return True
+        data = wire.http.send(h11.InformationalResponse(status_code=100, headers=[]))
+        try:
+            await wire.stream.send_all(data or b"")
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return False
+    return True
+
+
 async def wait_closed(wire: Wire) -> None:
     """Return when the peer closes the connection; keep data that comes before that.
 
--- a/src/ebonyvalve/platform/configuration.py
+++ b/src/ebonyvalve/platform/configuration.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from ebonyvalve.process import identity
+from ebonyvalve.process.load import policy
 from ebonyvalve.version import traffic
 
 ONCE = "non_idempotent"
@@ -123,9 +124,9 @@
     )
 
 
-def _decode_service(name: str, spec: msgspec.Raw) -> traffic.ServicePolicy:
+def _decode_service(name: str, spec: msgspec.Raw) -> policy.ServicePolicy:
     wire = msgspec.json.decode(spec, type=ServiceSpec)
-    return traffic.ServicePolicy(
+    return policy.ServicePolicy(
         name=identity.ServiceId(name),
         is_keyed=wire.sharded,
         max_connections=wire.max_conns,
--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -23,6 +23,7 @@
 from ebonyvalve.process.keyspace import grant, steward
 from ebonyvalve.process.load import gate, heat
 from ebonyvalve.request import attempt, delivery, exchange, front, origin, outcome
+from ebonyvalve.version import traffic
 
 log = logging.getLogger(__name__)
 
@@ -81,7 +82,9 @@
             functools.partial(steward.keep_lease, daemon.steward),
             functools.partial(steward.tend, daemon.steward),
             functools.partial(steward.push_ledger, daemon.steward),
-            functools.partial(operator.follow, daemon.node, daemon.steward.store),
+            functools.partial(
+                operator.follow, daemon.node, daemon.origin.current, daemon.steward.store
+            ),
             functools.partial(delivery.run_queue, daemon.origin.delivery),
             functools.partial(sweep, daemon),
             functools.partial(timer.run, daemon.timer),
@@ -124,12 +127,15 @@
         dialect=dialect.open_dialect(),
     )
     entry = origin.Origin(
-        node=node, delivery=local, peers=pool.Pool(connect=connect, now=now, bound=512)
+        node=node,
+        delivery=local,
+        peers=pool.Pool(connect=connect, now=now, bound=512),
+        current=traffic.Current(),
     )
     callers = front.Front(
         now=now,
         handle=functools.partial(handle_caller, entry),
-        find_limits=functools.partial(find_limits, node),
+        find_limits=functools.partial(find_limits, entry.current),
         is_hop=False,
         parse=dialect.build_parse(now),
         max_connections=MOST_CONNECTIONS,
@@ -137,7 +143,7 @@
     peers = front.Front(
         now=now,
         handle=functools.partial(handle_peer, entry, keeper),
-        find_limits=functools.partial(find_limits, node),
+        find_limits=functools.partial(find_limits, entry.current),
         is_hop=True,
         parse=dialect.build_parse(now),
         max_connections=MOST_CONNECTIONS,
@@ -206,14 +212,14 @@
     return outcome.Outcome(verdict=outcome.Verdict.ANSWERED, status=status)
 
 
-def find_limits(node: node_module.Node, _: identity.ServiceId) -> tuple[float, int]:
+def find_limits(current: traffic.Current, _: identity.ServiceId) -> tuple[float, int]:
     """Return the default deadline in seconds and the largest body in bytes.
 
-    :param node: the node.
+    :param current: the configuration in force.
     """
-    if node.config is None:
+    if current.traffic is None:
         return 60.0, 67_108_864
-    return 60.0, node.config.limits.max_body_bytes
+    return 60.0, current.traffic.limits.max_body_bytes
 
 
 async def connect(address: str) -> trio.abc.Stream:
@@ -396,8 +402,9 @@
         await trio.sleep(SWEEP_S)
         await pool.sweep(daemon.origin.peers, p99_s=attempt.SLOW_ANSWER_S)
         await pool.sweep(daemon.origin.delivery.pool, p99_s=attempt.SLOW_ANSWER_S)
-        if daemon.node.config is not None:
-            daemon.callers.idle_timeout_s = daemon.node.config.limits.idle_timeout_s
+        config = daemon.origin.current.traffic
+        if config is not None:
+            daemon.callers.idle_timeout_s = config.limits.idle_timeout_s
 
 
 async def wait_for_stop() -> None:
--- a/src/ebonyvalve/platform/operator.py
+++ b/src/ebonyvalve/platform/operator.py
@@ -8,6 +8,7 @@
 from ebonyvalve.process import decision, identity
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.store import table
+from ebonyvalve.version import traffic
 
 log = logging.getLogger(__name__)
 
@@ -18,10 +19,11 @@
 RETRY_S = 0.25
 
 
-async def follow(node: node_module.Node, store: table.Store) -> None:
+async def follow(node: node_module.Node, current: traffic.Current, store: table.Store) -> None:
     """Apply the operator's rows as they change, until cancelled.
 
     :param node: the node.
+    :param current: gets the configuration.
     :param store: the platform's store.
     """
     version = 0
@@ -32,7 +34,7 @@
         else:
             read = await store.follow(OPERATOR, version, FOLLOW_S)
         if isinstance(read, table.Rows):
-            apply(node, read, is_whole=is_whole)
+            apply(node, current, read, is_whole=is_whole)
             version = max(version, read.version)
             node.is_operator_known = node.config is not None
             if is_whole and not node.is_operator_known:
@@ -43,17 +45,20 @@
             await trio.sleep(RETRY_S * (1 + node.draw()))
 
 
-def apply(node: node_module.Node, read: table.Rows, *, is_whole: bool) -> None:
+def apply(
+    node: node_module.Node, current: traffic.Current, read: table.Rows, *, is_whole: bool
+) -> None:
     """Apply rows of the operator.
 
     :param node: the node.
+    :param current: gets the configuration.
     :param read: the rows.
     :param is_whole: whether they are all there are.
     """
     zones = set() if is_whole else set(node.evacuated)
     for row in read.rows:
         if row.name.key == CONFIG and not row.is_removed:
-            _apply_config(node, row)
+            _apply_config(node, current, row)
         elif row.name.key.startswith(EVACUATE):
             zone = identity.ZoneId(row.name.key.removeprefix(EVACUATE))
             if row.is_removed:
@@ -66,19 +71,20 @@
     node_module.pulse(node)
 
 
-def _apply_config(node: node_module.Node, row: table.Row) -> None:
+def _apply_config(node: node_module.Node, current: traffic.Current, row: table.Row) -> None:
     decoded = configuration.decode(row.value)
     if isinstance(decoded, list):
         decision.record(log, logging.ERROR, "configuration-refused", reasons="; ".join(decoded))
         return
-    if node.config is not None and decoded.version <= node.config.version:
+    if node.config is not None and decoded.version <= node.config:
         return
     decision.record(
         log,
         logging.INFO,
         "configuration",
         version=decoded.version,
-        before=node.config.version if node.config is not None else None,
+        before=node.config,
         routes=len(decoded.routes),
     )
-    node_module.set_traffic(node, decoded)
+    current.traffic = decoded
+    node_module.set_config(node, decoded.version, decoded.services)
--- a/src/ebonyvalve/process/node.py
+++ b/src/ebonyvalve/process/node.py
@@ -8,8 +8,7 @@
 
 from ebonyvalve.process import budget, decision, identity, member, place
 from ebonyvalve.process.keyspace import grant, lease, ledger
-from ebonyvalve.process.load import choice, gate, heat
-from ebonyvalve.version import traffic
+from ebonyvalve.process.load import choice, gate, heat, policy
 
 log = logging.getLogger(__name__)
 
@@ -63,7 +62,10 @@
     grantor: grant.Grantor
     budget: budget.Budget
     heat: heat.Heat
-    config: traffic.Traffic | None = None
+    config: identity.ConfigVersion | None = None
+    policies: dict[identity.ServiceId, policy.ServicePolicy] = dataclasses.field(
+        default_factory=dict
+    )
     evacuated: frozenset[identity.ZoneId] = frozenset()
     members: dict[identity.NodeId, member.Member] = dataclasses.field(default_factory=dict)
     books: dict[identity.ServiceId, Book] = dataclasses.field(default_factory=dict)
@@ -100,13 +102,13 @@
     return node.config is not None and node.is_mesh_known and not node.is_stopping
 
 
-def find_policy(node: Node, service: identity.ServiceId) -> traffic.ServicePolicy | None:
+def find_policy(node: Node, service: identity.ServiceId) -> policy.ServicePolicy | None:
     """Return the policy of a service, or ``None`` if the configuration lacks it.
 
     :param node: the node.
     :param service: the service.
     """
-    return None if node.config is None else node.config.services.get(service)
+    return node.policies.get(service)
 
 
 def is_keyed(node: Node) -> bool:
@@ -114,8 +116,8 @@
 
     :param node: the node.
     """
-    policy = find_policy(node, node.place.service)
-    return policy is not None and policy.is_keyed
+    own = find_policy(node, node.place.service)
+    return own is not None and own.is_keyed
 
 
 def is_open(node: Node) -> bool:
@@ -201,8 +203,8 @@
     """
     before = node.target
     if before is None or before.lifetime != target.lifetime:
-        policy = find_policy(node, node.place.service)
-        rate = policy.cold_rate if policy is not None else 0.0
+        known = find_policy(node, node.place.service)
+        rate = known.cold_rate if known is not None else 0.0
         node.gate.cold_rate = rate
         node.gate.work_s = gate.FIRST_WORK_S
         decision.record(log, logging.INFO, "target-started", target=target.lifetime)
@@ -235,16 +237,21 @@
     pulse(node)
 
 
-def set_traffic(node: Node, accepted: traffic.Traffic) -> None:
-    """Apply a configuration.
+def set_config(
+    node: Node,
+    version: identity.ConfigVersion,
+    policies: dict[identity.ServiceId, policy.ServicePolicy],
+) -> None:
+    """Apply what a configuration says of the services.
 
     :param node: the node.
-    :param accepted: a checked configuration that is newer than the present one.
+    :param version: its version, higher than the present one.
+    :param policies: its services.
     """
-    node.config = accepted
-    policy = find_policy(node, node.place.service)
-    if policy is not None:
-        node.gate.cold_rate = policy.cold_rate
+    node.config, node.policies = version, policies
+    own = find_policy(node, node.place.service)
+    if own is not None:
+        node.gate.cold_rate = own.cold_rate
     pulse(node)
 
 
@@ -257,8 +264,8 @@
     :param zones: all of them.
     """
     own = node.place.zone
-    policy = find_policy(node, node.place.service)
-    if own in node.evacuated and own not in zones and policy is not None:
-        gate.note_cold(node.gate, node.now() + policy.cold_s)
+    known = find_policy(node, node.place.service)
+    if own in node.evacuated and own not in zones and known is not None:
+        gate.note_cold(node.gate, node.now() + known.cold_s)
     node.evacuated = zones
     pulse(node)
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -257,8 +257,7 @@
         # The sender of a hop holds the rest of the body back until the request is admitted.
         incoming.is_continued = True
         if incoming.front.is_hop:
-            proceed = h11.InformationalResponse(status_code=100, headers=[])
-            await wire.send(incoming.conn, proceed)
+            await wire.send_continue(incoming.conn)
     with trio.move_on_after(BODY_STALL_S):
         received = await wire.receive(incoming.conn)
         if isinstance(received, result.Failure):
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -40,6 +40,7 @@
     node: node_module.Node
     delivery: delivery.Delivery
     peers: pool.Pool
+    current: traffic.Current
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -62,13 +63,14 @@
     :param head: what its head says.
     """
     node = origin.node
-    if node.config is None:
+    config = origin.current.traffic
+    if config is None:
         return outcome.refuse(outcome.Reason.NO_CONFIGURATION)
-    route = traffic.find_route(node.config, head.host, call.path)
+    route = traffic.find_route(config, head.host, call.path)
     if route is None:
         return outcome.refuse(outcome.Reason.NO_SUCH_SERVICE)
     service = traffic.pick_service(route, node.draw())
-    policy = node.config.services[service]
+    policy = config.services[service]
     if policy.is_keyed and head.slot is None:
         return outcome.refuse(outcome.Reason.BAD_REQUEST)
     most_s = route.timeout_s if head.budget_s is None else min(route.timeout_s, head.budget_s)
@@ -460,5 +462,5 @@
         tried=",".join(tried),
         took_ms=int((node.now() - started_at) * 1000),
         ledger=book.version if book is not None else None,
-        config=node.config.version if node.config is not None else None,
+        config=node.config,
     )
--- /dev/null
+++ b/src/ebonyvalve/standin/target.py
@@ -0,0 +1,147 @@
+"""A target of the platform: takes fenced grants by its reports and runs requests."""
+
+import collections.abc
+import dataclasses
+
+import h11
+import msgspec
+from returns import result
+import trio
+
+from ebonyvalve.process import http, identity, network
+
+SERVED = 200
+MISDIRECTED = 421
+FULL = 503
+
+
+@dataclasses.dataclass(kw_only=True)
+class Target:
+    """A target with what it holds. ``ran`` lists the ids of requests that it has run."""
+
+    name: str
+    service: str
+    address: str
+    reports_address: str
+    is_keyed: bool
+    slots: int = 4
+    work_s: float = 0.0
+    heartbeat_s: float = 0.2
+    born_ms: int = 1
+    sequence: int = 0
+    state: str = "ready"
+    running: int = 0
+    until: float = 0.0
+    holds: list[tuple[int, int, int]] = dataclasses.field(default_factory=list)
+    released: list[tuple[int, int, str]] = dataclasses.field(default_factory=list)
+    ran: list[str] = dataclasses.field(default_factory=list)
+    callers: list[str] = dataclasses.field(default_factory=list)
+
+
+async def serve(target: Target, stream: trio.abc.Stream) -> None:
+    """Serve one connection of the router.
+
+    :param target: the target.
+    :param stream: the connection.
+    """
+    protocol = h11.Connection(h11.SERVER)
+    try:
+        while True:
+            head, body = await http.receive_message(stream, protocol)
+            if not isinstance(head, h11.Request):
+                return
+            reply, content = await _run(target, head, body)
+            await http.send_message(stream, protocol, reply, content)
+            protocol.start_next_cycle()
+    except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError):
+        # The router has closed the connection or broken off the request.
+        return
+    finally:
+        await trio.aclose_forcefully(stream)
+
+
+async def _run(target: Target, head: h11.Request, body: bytes) -> tuple[h11.Response, bytes]:
+    headers = {name.decode(): value.decode() for name, value in head.headers}
+    request_id = headers.get("x-attempt-id", "")
+    if headers.get("x-expect-instance") != target.name or not _holds(target, headers):
+        return _reply(MISDIRECTED, [("x-not-executed", "1")], b"")
+    if target.running >= target.slots:
+        return _reply(FULL, [("x-not-executed", "1")], b"")
+    target.running += 1
+    try:
+        await trio.sleep(target.work_s)
+    finally:
+        target.running -= 1
+    target.ran.append(request_id)
+    target.callers.append(headers.get("x-caller-service", ""))
+    content = body or f"{target.name} {head.target.decode()}".encode()
+    sealed = [("x-attempt-id", request_id), ("x-response-seal", "seal")]
+    return _reply(SERVED, sealed, content)
+
+
+def _holds(target: Target, headers: dict[str, str]) -> bool:
+    if not target.is_keyed:
+        return True
+    slot = int(headers.get("x-shard-key", "-1"))
+    is_held = any(first <= slot <= last for first, last, _ in target.holds)
+    return is_held and trio.current_time() < target.until
+
+
+def _reply(
+    status: int, headers: collections.abc.Sequence[tuple[str, str]], body: bytes
+) -> tuple[h11.Response, bytes]:
+    head = [*headers, ("content-length", str(len(body)))]
+    return h11.Response(status_code=status, headers=head), body
+
+
+async def report(target: Target) -> None:
+    """Send status reports until cancelled.
+
+    :param target: the target.
+    """
+    while True:
+        sent_at = trio.current_time()
+        reply = await http.fetch(
+            network.connect_tcp, target.reports_address, _build_report(target), timeout_s=1.0
+        )
+        is_pending = False
+        if isinstance(reply, result.Success) and reply.unwrap().status == SERVED:
+            is_pending = _take(target, msgspec.json.decode(reply.unwrap().body), sent_at)
+        await trio.sleep(0.1 if is_pending else target.heartbeat_s)
+
+
+def _build_report(target: Target) -> http.Request:
+    target.sequence += 1
+    body = {
+        "address": target.address,
+        "born": target.born_ms,
+        "info": {"backend": target.service, "slots": target.slots, "zone": "z1", "version": "v1"},
+        "status": {"state": target.state, "seq": target.sequence, "cold_left_s": 0},
+        "holds": target.holds,
+        "released": target.released,
+    }
+    return http.Request(
+        method="PUT", path=f"/instances/{target.name}", body=msgspec.json.encode(body)
+    )
+
+
+def _take(target: Target, answer: dict[str, object], sent_at: float) -> bool:
+    target.released = []
+    rows = answer.get("holds")
+    if not isinstance(rows, list):
+        return False
+    given = [(first, last, fence) for first, last, fence, _ in rows]
+    dropped = [row for row in target.holds if row not in given]
+    target.released = [(first, last, f"h{fence}") for first, last, fence in dropped]
+    target.holds = given
+    hold_s = answer.get("hold_s", 0.0)
+    target.until = sent_at + (hold_s if isinstance(hold_s, float | int) else 0.0)
+    return bool(dropped)
+
+
+def count_keys(target: Target) -> int:
+    """Return how many keys the target holds.
+
+    :param target: the target.
+    """
+    return sum(last - first + 1 for first, last, _ in target.holds if last <= identity.LAST_SLOT)
--- a/src/ebonyvalve/version/traffic.py
+++ b/src/ebonyvalve/version/traffic.py
@@ -5,6 +5,7 @@
 import enum
 
 from ebonyvalve.process import identity
+from ebonyvalve.process.load import policy
 
 
 class Repeat(enum.Enum):
@@ -41,22 +42,6 @@
     priority: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ServicePolicy:
-    """What the targets of a service bear.
-
-    A target bears ``cold_rate`` requests a second for ``cold_s`` seconds after its start.
-    """
-
-    name: identity.ServiceId
-    is_keyed: bool
-    max_connections: int
-    cold_s: float
-    cold_rate: float
-    warm_up_s: float
-    health_path: str
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Limits:
     """What callers may send, and how long they may take, in bytes and seconds."""
@@ -73,16 +58,23 @@
 
     version: identity.ConfigVersion
     routes: tuple[Route, ...]
-    services: dict[identity.ServiceId, ServicePolicy]
+    services: dict[identity.ServiceId, policy.ServicePolicy]
     limits: Limits
     by_host: dict[str, dict[str, Route]]
 
 
+@dataclasses.dataclass(kw_only=True)
+class Current:
+    """The configuration in force, or ``None`` before the first one."""
+
+    traffic: Traffic | None = None
+
+
 def build(
     *,
     version: identity.ConfigVersion,
     routes: collections.abc.Iterable[Route],
-    services: collections.abc.Iterable[ServicePolicy],
+    services: collections.abc.Iterable[policy.ServicePolicy],
     limits: Limits,
 ) -> Traffic:
     """Index a configuration.
--- /dev/null
+++ b/tests/platform/test_daemon.py
@@ -0,0 +1,112 @@
+"""The whole path on loopback: daemons with targets and the stand-in of the store."""
+
+import pytest
+import trio
+
+from ebonyvalve.process import http, network
+from ebonyvalve.standin import metadata
+from tests.platform import mesh as mesh_module
+
+
+async def test_requests_reach_the_owner_of_their_key() -> None:
+    """Each key runs at the one target that holds it, whatever node it comes to."""
+    async with mesh_module.open_mesh(["lookup", "lookup", "orders"]) as mesh:
+        clients = [await mesh_module.open_client(address) for address in mesh.outbound]
+        for slot in range(0, 65_536, 6553):
+            await mesh_module.wait_status(clients[2], 200, "/lookup/a", x_shard_key=str(slot))
+        for number in range(60):
+            slot = str(number * 1092)
+            status, headers, _ = await mesh_module.ask(
+                clients[number % 3], "GET", "/lookup/x", x_shard_key=slot
+            )
+            assert (status, headers["x-response-seal"]) == (200, "seal")
+        assert all(one.ran for one in mesh.targets[:2])
+
+
+async def test_body_path_and_caller_are_passed_on() -> None:
+    """The target sees the caller's path and body, and the service of the caller's VM."""
+    async with mesh_module.open_mesh(["lookup", "orders"]) as mesh:
+        client = await mesh_module.open_client(mesh.outbound[0])
+        await mesh_module.wait_status(client, 200, "/orders/warm")
+        mesh.targets[1].callers.clear()
+        status, headers, body = await mesh_module.ask(
+            client, "POST", "/orders/7?a=b", body=b"wipe" * 5000, x_caller_service="forged"
+        )
+        assert (status, body) == (200, b"wipe" * 5000)
+        assert mesh.targets[1].callers == ["lookup"]
+        assert not any(name.startswith("ebonyvalve-") for name in headers)
+
+
+async def test_echoed_bodies_survive_an_early_answer() -> None:
+    """An answer may begin while the last of a body is read; both sides write then."""
+    async with mesh_module.open_mesh(["lookup", "orders"]) as mesh:
+        client = await mesh_module.open_client(mesh.outbound[0])
+        await mesh_module.wait_status(client, 200, "/orders/warm")
+        for _ in range(50):
+            status, _, body = await mesh_module.ask(
+                client, "POST", "/orders/7", body=b"wipe" * 5000
+            )
+            assert (status, len(body)) == (200, 20_000)
+
+
+async def test_unknown_routes_and_missing_targets() -> None:
+    """404 only for what no route allows; a missing target is a truthful 503."""
+    async with mesh_module.open_mesh(["orders"]) as mesh:
+        client = await mesh_module.open_client(mesh.outbound[0])
+        await mesh_module.wait_status(client, 200, "/orders/warm")
+        assert (await mesh_module.ask(client, "GET", "/nowhere/x"))[0] == 404
+        status, headers, _ = await mesh_module.ask(client, "GET", "/lookup/x", x_shard_key="1")
+        assert status == 503
+        assert float(headers["retry-after"]) > 0
+
+
+async def test_new_configuration_is_applied() -> None:
+    """A version that comes by the feed is in force at once; an older one is not."""
+    async with mesh_module.open_mesh(["orders"]) as mesh:
+        client = await mesh_module.open_client(mesh.outbound[0])
+        await mesh_module.wait_status(client, 200, "/orders/warm")
+        metadata.put(
+            mesh.state, "op", "config", mesh_module.build_config(5, hostname="new.example")
+        )
+        await mesh_module.wait_status(client, 404, "/orders/x")
+        metadata.put(mesh.state, "op", "config", mesh_module.build_config(3))
+        metadata.put(mesh.state, "op", "config", b"not json")
+        await trio.sleep(0.1)
+        assert (await mesh_module.ask(client, "GET", "/orders/x"))[0] == 404
+
+
+async def test_ready_once_configuration_and_mesh_are_known() -> None:
+    """The platform sends callers only to nodes that can route."""
+    async with mesh_module.open_mesh(["orders"]) as mesh:
+        client = await mesh_module.open_client(mesh.outbound[0])
+        await mesh_module.wait_status(client, 200, "/orders/warm")
+        reply = await http.fetch(
+            network.connect_tcp,
+            mesh.ready[0],
+            http.Request(method="GET", path="/readyz"),
+            timeout_s=5.0,
+        )
+        assert reply.unwrap().status == 200
+
+
+@pytest.mark.parametrize("number", [1, 30])
+async def test_orders_run_once_each(number: int) -> None:
+    """Orders from several callers at once run exactly once each."""
+    async with mesh_module.open_mesh(["orders", "orders"], work_s=0.01) as mesh:
+        warm = await mesh_module.open_client(mesh.outbound[0])
+        await mesh_module.wait_status(warm, 200, "/orders/warm")
+        for one in mesh.targets:
+            one.ran.clear()
+        statuses: list[int] = []
+
+        async def call() -> None:
+            client = await mesh_module.open_client(mesh.outbound[len(statuses) % 2])
+            status, _, _ = await mesh_module.ask(client, "POST", "/orders/x", body=b"1")
+            statuses.append(status)
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(number):
+                nursery.start_soon(call)
+        ran = [name for one in mesh.targets for name in one.ran]
+        assert len(ran) == len(set(ran)) == statuses.count(200)
+        assert statuses.count(200) + statuses.count(503) == number
--- a/tests/process/keyspace/test_grant.py
+++ b/tests/process/keyspace/test_grant.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from ebonyvalve.process import identity
-from ebonyvalve.process.keyspace import grant, ledger, lease
+from ebonyvalve.process.keyspace import grant, lease, ledger
 
 X = identity.Lifetime("x@1")
 Y = identity.Lifetime("y@1")
--- a/tests/process/keyspace/test_relief.py
+++ b/tests/process/keyspace/test_relief.py
@@ -87,7 +87,7 @@
     """The loads of a move under way are not known yet."""
     everyone = [build_candidate(number) for number in range(2)]
     book = ledger.create(everyone)
-    rates = {slot: 2.0 for slot in range(100)}
+    rates = dict.fromkeys(range(100), 2.0)
     own, own_rates = measure(book, rates, everyone[0])
     others = [measure(book, rates, everyone[1])[0]]
     book = ledger.order_move(book, 0, 9, everyone[1])
--- a/tests/process/keyspace/test_steward.py
+++ b/tests/process/keyspace/test_steward.py
@@ -14,9 +14,8 @@
 from ebonyvalve.process import budget, http, identity, member, place
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant, lease, ledger, steward
-from ebonyvalve.process.load import gate, heat
+from ebonyvalve.process.load import gate, heat, policy
 from ebonyvalve.standin import metadata
-from ebonyvalve.version import traffic
 
 SERVICE = identity.ServiceId("lookup")
 HEARTBEAT_S = 0.9
@@ -79,19 +78,15 @@
     )
 
 
-def build_config() -> traffic.Traffic:
-    policy = traffic.ServicePolicy(
-        name=SERVICE,
-        is_keyed=True,
-        max_connections=100,
-        cold_s=3.0,
-        cold_rate=20.0,
-        warm_up_s=3.0,
-        health_path="/",
-    )
-    return traffic.build(
-        version=identity.ConfigVersion(1), routes=[], services=[policy], limits=traffic.Limits()
-    )
+POLICY = policy.ServicePolicy(
+    name=SERVICE,
+    is_keyed=True,
+    max_connections=100,
+    cold_s=3.0,
+    cold_rate=20.0,
+    warm_up_s=3.0,
+    health_path="/",
+)
 
 
 def build_keeper(world: World, machine: Machine) -> steward.Steward:
@@ -114,7 +109,8 @@
         grantor=grant.start(now=now(), most_hold_s=steward.find_hold(HEARTBEAT_S)),
         budget=budget.Budget(share=0.1),
         heat=heat.Heat(at=now()),
-        config=build_config(),
+        config=identity.ConfigVersion(1),
+        policies={SERVICE: POLICY},
     )
     client = store_module.Client(address="store:1", connect=connect, now=now)
     return steward.Steward(node=node, store=store_module.open_store(client), connect=connect)
