--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -73,9 +73,8 @@
             return result.Failure(WireFailure.CLOSED if is_cut else WireFailure.MALFORMED)
         if event is not h11.NEED_DATA:
             return result.Success(event)  # type: ignore[arg-type]
-        if wire.http.they_are_waiting_for_100_continue:
-            if not await send_continue(wire):
-                return result.Failure(WireFailure.CLOSED)
+        if wire.http.they_are_waiting_for_100_continue and not await send_continue(wire):
+            return result.Failure(WireFailure.CLOSED)
         try:
             data = await wire.stream.receive_some(READ_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -91,11 +90,18 @@
     :param events: what to write, in order.
     """
     try:
-        async with wire.sending:
+        # Waiting for a free lock would cost a turn of the scheduler for each write.
+        if wire.sending.locked():
+            await wire.sending.acquire()
+        else:
+            wire.sending.acquire_nowait()
+        try:
             parts = [wire.http.send(event) for event in events]
             data = b"".join(part for part in parts if part)
             if data:
                 await wire.stream.send_all(data)
+        finally:
+            wire.sending.release()
     except h11.LocalProtocolError:
         return result.Failure(WireFailure.MALFORMED)
     except (trio.BrokenResourceError, trio.ClosedResourceError):
--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -3,7 +3,6 @@
 import dataclasses
 import functools
 import logging
-import math
 import os
 import random
 import secrets
@@ -22,12 +21,15 @@
 from ebonyvalve.process import place as place_module
 from ebonyvalve.process.keyspace import grant, steward
 from ebonyvalve.process.load import gate, heat
+from ebonyvalve.process.observation import output, tally
 from ebonyvalve.request import attempt, delivery, exchange, front, origin, outcome
 from ebonyvalve.version import traffic
 
 log = logging.getLogger(__name__)
 
 SETTINGS_VARIABLE = "EBONYVALVE_BOOT"
+LEVEL_VARIABLE = "EBONYVALVE_LOG"
+METRICS_PATH = "/metrics"
 # Two misses of one probe a second take a node out; requests may still come until then.
 LEAVE_S = 2.3
 # What is left of the grace for ending the process itself.
@@ -57,7 +59,8 @@
 
 def main() -> None:
     """Run the daemon until it is told to stop."""
-    decision.configure(decision.LogForm.KEY_VALUE, os.environ.get("EBONYVALVE_LOG", "INFO"))
+    out = output.open_output(sys.stdout.fileno(), timer.read_boot_clock)
+    output.configure(out, decision.LogForm.KEY_VALUE, os.environ.get(LEVEL_VARIABLE, "INFO"))
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
         with open(path, "rb") as file:
@@ -95,9 +98,11 @@
         nursery.start_soon(
             listen, place.peers_address, functools.partial(front.serve, daemon.peers)
         )
-        callers = await nursery.start(open_callers, daemon)
+        nursery.start_soon(
+            listen, place.callers_address, functools.partial(front.serve, daemon.callers)
+        )
         await wait_for_stop()
-        await stop(daemon, callers)
+        await stop(daemon)
         nursery.cancel_scope.cancel()
     decision.record(log, logging.INFO, "stop", node=place.node)
 
@@ -262,19 +267,6 @@
     await trio.serve_listeners(build_serve(serve), listeners)
 
 
-async def open_callers(daemon: Daemon, task_status: trio.TaskStatus[trio.CancelScope]) -> None:
-    """Accept callers until the scope that is handed out is cancelled.
-
-    :param daemon: the daemon.
-    """
-    with trio.CancelScope() as scope:
-        task_status.started(scope)
-        await listen(
-            daemon.node.place.callers_address, functools.partial(front.serve, daemon.callers)
-        )
-    await trio.sleep(math.inf)
-
-
 def build_serve(serve: network.Serve) -> network.Serve:
     """Return a function that serves a connection with the socket's options set.
 
@@ -295,12 +287,15 @@
 
 
 def build_ready(daemon: Daemon) -> network.Serve:
-    """Return what tells the platform whether callers may come.
+    """Return what tells the platform whether callers may come, and serves the metrics.
 
     :param daemon: the daemon.
     """
 
     async def respond(request: http.Request) -> http.Reply:
+        if request.path == METRICS_PATH:
+            text = tally.render(daemon.node.counted, node_module.list_gauges(daemon.node))
+            return http.Reply(status=200, body=text, content_type=tally.CONTENT_TYPE)
         is_fine = node_module.is_ready(daemon.node)
         return http.Reply(status=200 if is_fine else 503, body=b"{}")
 
@@ -417,20 +412,22 @@
             decision.record(log, logging.INFO, "settings-changed")
 
 
-async def stop(daemon: Daemon, callers: trio.CancelScope) -> None:
+async def stop(daemon: Daemon) -> None:
     """Let callers go elsewhere and requests in flight end.
 
+    Requests without a key go to other targets at once. Those with a key can only be run here, and
+    the target's own calls only come here, so that they are taken to the end.
+
     :param daemon: the daemon.
-    :param callers: stops accepting callers.
     """
     grace_s = daemon.node.place.grace_s - EXIT_MARGIN_S
     daemon.node.is_stopping = True
     with trio.move_on_after(grace_s):
         await trio.sleep(LEAVE_S)
-        callers.cancel()
+        daemon.node.is_ending = True
         front.stop(daemon.callers)
         polled = timer.subscribe(daemon.timer, period_s=DRAIN_POLL_S)
-        while daemon.callers.connections or daemon.node.gate.running:
+        while daemon.callers.busy or daemon.peers.busy:
             await timer.tick(daemon.timer, polled)
 
 
--- a/src/ebonyvalve/process/budget.py
+++ b/src/ebonyvalve/process/budget.py
@@ -25,6 +25,19 @@
     budget.level = min(budget.burst, budget.level + budget.share)
 
 
+def divide(budget: Budget, slack: float, nodes: int) -> None:
+    """Give a node its part of the extra attempts that all nodes together may make in a burst.
+
+    Half is kept back: a window may begin just before one burst and end just after the next.
+
+    :param budget: the bucket.
+    :param slack: extra attempts of all nodes.
+    :param nodes: how many nodes there are.
+    """
+    budget.burst = slack / (2 * max(1, nodes))
+    budget.level = min(budget.level, budget.burst)
+
+
 def spend(budget: Budget) -> bool:
     """Take one extra attempt and return whether there was one.
 
--- a/src/ebonyvalve/process/keyspace/steward.py
+++ b/src/ebonyvalve/process/keyspace/steward.py
@@ -7,7 +7,7 @@
 from returns import result
 import trio
 
-from ebonyvalve.process import decision, http, identity, member, network
+from ebonyvalve.process import budget, decision, http, identity, member, network
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant, lease, ledger, plan, relief
 from ebonyvalve.process.load import heat
@@ -104,6 +104,7 @@
     for row in read.rows:
         _take_row(steward, row)
     steward.mesh_version = max(steward.mesh_version, read.version)
+    budget.divide(node.budget, node.place.retries.slack, len(node.members))
     if read.clock is not None:
         node.clock = read.clock
     node.is_mesh_known = True
--- a/src/ebonyvalve/process/node.py
+++ b/src/ebonyvalve/process/node.py
@@ -9,6 +9,7 @@
 from ebonyvalve.process import budget, decision, identity, member, place
 from ebonyvalve.process.keyspace import grant, lease, ledger
 from ebonyvalve.process.load import choice, gate, heat, policy
+from ebonyvalve.process.observation import tally
 
 log = logging.getLogger(__name__)
 
@@ -50,8 +51,9 @@
 class Node:
     """Everything that lives as long as the process.
 
-    ``closed_at`` is when the target last stopped taking new work. ``changed`` is replaced and set
-    whenever something changes that others wait for.
+    ``is_stopping`` says that callers are to go elsewhere, ``is_ending`` that the target gets no
+    more work from this process. ``closed_at`` is when the target last stopped taking new work.
+    ``changed`` is replaced and set whenever something changes that others wait for.
     """
 
     place: place.Place
@@ -62,6 +64,7 @@
     grantor: grant.Grantor
     budget: budget.Budget
     heat: heat.Heat
+    counted: tally.Tally = dataclasses.field(default_factory=tally.Tally)
     config: identity.ConfigVersion | None = None
     policies: dict[identity.ServiceId, policy.ServicePolicy] = dataclasses.field(
         default_factory=dict
@@ -76,6 +79,7 @@
     is_mesh_known: bool = False
     is_operator_known: bool = False
     is_stopping: bool = False
+    is_ending: bool = False
     closed_at: float = float("-inf")
     was_open: bool = False
     changed: trio.Event = dataclasses.field(default_factory=trio.Event)
@@ -160,6 +164,24 @@
     )
 
 
+def list_gauges(node: Node) -> dict[str, float]:
+    """Return present values for the metrics.
+
+    :param node: the node.
+    """
+    measured = measure(node)
+    return {
+        "running": len(node.gate.running),
+        "queue_length": len(node.gate.waiting),
+        "work_seconds": measured.work_s,
+        "offered_load": measured.offered,
+        "config_version": node.config or 0,
+        "members": len(node.members),
+        "target_open": float(is_open(node)),
+        "granted_ranges": len(node.grantor.granted),
+    }
+
+
 def list_open_members(node: Node, service: identity.ServiceId) -> list[member.Member]:
     """Return the members whose targets take new work of a service.
 
--- /dev/null
+++ b/src/ebonyvalve/process/observation/__init__.py
@@ -0,0 +1,1 @@
+"""What a process tells of itself: logs and metrics."""
--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -20,6 +20,8 @@
 ANY_KEY = -1
 # A report that renews the grant comes with each heartbeat.
 GRANT_RETRY_S = 0.2
+# A process that has stopped is started again within about a second.
+RESTART_S = 1.0
 # A leaving target may get new work for 2 s; this leaves room for what is on its way.
 HANDOVER_S = 1.6
 # A process that has ended refuses connections at once and for as long as it takes to start.
@@ -127,6 +129,8 @@
         return Ended(result=outcome.refuse(outcome.Reason.NO_TARGET), retry_after_s=0.5)
     if call.service != node.place.service:
         return Ended(result=outcome.refuse(outcome.Reason.MOVED))
+    if node.is_ending or (node.is_stopping and rules.slot is None):
+        return Ended(result=outcome.refuse(outcome.Reason.STOPPING), retry_after_s=RESTART_S)
     if not node_module.is_open(node):
         # Keys stay with a leaving target until they have been handed over.
         is_handing_over = rules.slot is not None and node.now() < node.closed_at + HANDOVER_S
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -59,6 +59,8 @@
     idle_timeout_s: float = IDLE_TIMEOUT_S
     max_connections: int = 1000
     connections: int = 0
+    # Requests that have been read and not yet answered in full.
+    busy: int = 0
     is_stopping: bool = False
     idle_scopes: set[trio.CancelScope] = dataclasses.field(default_factory=set)
 
@@ -130,7 +132,11 @@
     if not await _hold_prefix(call, caller):
         await _reply_error(conn, outcome.refuse(outcome.Reason.BODY_BROKEN), "body broke off")
         return False
-    await front.handle(call, caller)
+    front.busy += 1
+    try:
+        await front.handle(call, caller)
+    finally:
+        front.busy -= 1
     return await _finish_exchange(front, incoming)
 
 
@@ -231,16 +237,23 @@
     async def receive() -> exchange.Chunk:
         return await _receive_body(incoming)
 
+    # The head goes out together with what follows it.
+    head: list[h11.Event] = []
+
     async def reply(status: int, headers: exchange.Headers) -> bool:
         extra = [] if not incoming.front.is_stopping else [(b"connection", b"close")]
-        head = h11.Response(status_code=status, headers=headers + extra)
-        return isinstance(await wire.send(conn, head), result.Success)
+        head.append(h11.Response(status_code=status, headers=headers + extra))
+        return True
 
     async def write(data: bytes) -> bool:
-        return isinstance(await wire.send(conn, h11.Data(data=data)), result.Success)
+        sent = await wire.send(conn, *head, h11.Data(data=data))
+        head.clear()
+        return isinstance(sent, result.Success)
 
     async def finish() -> bool:
-        return isinstance(await wire.send(conn, h11.EndOfMessage()), result.Success)
+        sent = await wire.send(conn, *head, h11.EndOfMessage())
+        head.clear()
+        return isinstance(sent, result.Success)
 
     async def wait_gone() -> None:
         await wire.wait_closed(conn)
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -11,6 +11,7 @@
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import ledger
 from ebonyvalve.process.load import choice
+from ebonyvalve.process.observation import tally
 from ebonyvalve.request import attempt, delivery, dispatch, exchange, held, outcome
 from ebonyvalve.version import traffic
 
@@ -444,10 +445,12 @@
     started_at: float,
     tried: collections.abc.Sequence[identity.NodeId],
 ) -> None:
+    node = origin.node
     is_answered = result.verdict is outcome.Verdict.ANSWERED
+    took_s = node.now() - started_at
+    tally.count(node.counted, call.service, result.verdict.value, result.reason.value, took_s)
     if is_answered and not log.isEnabledFor(logging.DEBUG):
         return
-    node = origin.node
     book = node.books.get(call.service)
     decision.record(
         log,
@@ -460,7 +463,7 @@
         reason=result.reason,
         status=result.status,
         tried=",".join(tried),
-        took_ms=int((node.now() - started_at) * 1000),
+        took_ms=int(took_s * 1000),
         ledger=book.version if book is not None else None,
         config=node.config,
     )
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -89,6 +89,22 @@
         assert reply.unwrap().status == 200
 
 
+async def test_metrics_are_served() -> None:
+    """The ready address also answers with the counters."""
+    async with mesh_module.open_mesh(["orders"]) as mesh:
+        client = await mesh_module.open_client(mesh.outbound[0])
+        await mesh_module.wait_status(client, 200, "/orders/warm")
+        reply = await http.fetch(
+            network.connect_tcp,
+            mesh.ready[0],
+            http.Request(method="GET", path="/metrics"),
+            timeout_s=5.0,
+        )
+        text = reply.unwrap().body.decode()
+        assert 'outcome="answered",reason="none",service="orders"' in text
+        assert "ebonyvalve_members 1.0" in text
+
+
 @pytest.mark.parametrize("number", [1, 30])
 async def test_orders_run_once_each(number: int) -> None:
     """Orders from several callers at once run exactly once each."""
