Let an heir take one move at a time, and tell refused callers to come back later

Change: loads stand in the lease rows too; a target that has just got keys, or is about to, neither gets nor gives any for a second; a full owner is not asked again for 40 ms; callers return after a quarter of a second or more, spread.

--- a/src/ebonyvalve/process/keyspace/lease.py
+++ b/src/ebonyvalve/process/keyspace/lease.py
@@ -20,10 +20,16 @@
 
 
 class LeaseRow(msgspec.Struct, kw_only=True, frozen=True):
-    """A node's promise not to renew its target's keys after a time of the store's clock."""
+    """A node's promise not to renew its target's keys after a time of the store's clock.
+
+    ``offered`` and ``request_load`` are the load of its target when the row was written, for
+    nodes that had no answer from it lately.
+    """
 
     until_s: float
     incarnation: str
+    offered: float = 0.0
+    request_load: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/ebonyvalve/process/keyspace/ledger.py
+++ b/src/ebonyvalve/process/keyspace/ledger.py
@@ -215,6 +215,19 @@
         first += take
 
 
+def find_receivers(before: Ledger, after: Ledger) -> set[identity.Lifetime]:
+    """Return the targets that hold keys which another one held before.
+
+    :param before: the earlier ledger.
+    :param after: the later one.
+    """
+    return {
+        identity.Lifetime(span.holder)
+        for span in after.spans
+        if span.holder and find(before, span.first).holder != span.holder
+    }
+
+
 def order_move(ledger: Ledger, first: int, last: int, heir: Candidate) -> Ledger:
     """Plan the move of a range to another target; spans are cut at its ends.
 
--- a/src/ebonyvalve/process/keyspace/relief.py
+++ b/src/ebonyvalve/process/keyspace/relief.py
@@ -41,15 +41,18 @@
 def find_moves(
     book: ledger.Ledger,
     own: Load,
-    others: collections.abc.Iterable[Load],
+    others: collections.abc.Sequence[Load],
     rates: collections.abc.Mapping[int, float],
+    *,
+    mean: float,
 ) -> list[Move]:
     """Return the moves that relieve a target.
 
     :param book: the service's ledger, none of whose spans of this target is moving.
     :param own: the load of the target.
-    :param others: the loads of the others that may take keys.
+    :param others: the loads of those of the others that may take keys now.
     :param rates: requests a second by key of the target.
+    :param mean: the mean load of all targets.
     """
     spans = ledger.list_held(book, own.candidate.lifetime)
     if any(span.heir for span in spans):
@@ -59,12 +62,13 @@
     left = own.offered
     pieces = [_list_rates(span, rates) for span in spans]
     moves: list[Move] = []
-    while loads and len(moves) < MOST_MOVES:
-        mean = (left + sum(offered.values())) / (1 + len(offered))
+    while offered and len(moves) < MOST_MOVES:
         if left < BUSY or left < UNEVEN * mean:
             break
         name = min(offered, key=lambda one: (offered[one], one))
         heir = loads[name]
+        if offered[name] > mean:
+            break
         per_request = own.request_load + heir.request_load
         wanted = STEP * (left - offered[name]) / per_request
         cut = _cut(pieces, wanted)
@@ -75,7 +79,7 @@
             break
         moves.append(Move(first=first, last=last, heir=heir.candidate))
         left -= rate * own.request_load
-        offered[name] += rate * heir.request_load
+        del offered[name]
     return moves
 
 
--- a/src/ebonyvalve/process/keyspace/steward.py
+++ b/src/ebonyvalve/process/keyspace/steward.py
@@ -22,17 +22,18 @@
 # A follow that returns nothing costs a call; silent connections are found by keep-alive probes.
 FOLLOW_S = 10.0
 # Changes of many rows at once are taken together.
-SETTLE_S = 0.4
+SETTLE_S = 0.8
 RETRY_S = 0.25
 # Looks at the ledger even if nothing has changed, because leases and holds end by time.
 LOOK_S = 0.25
 # All VMs start within 0.3 s, and their targets report within a heartbeat.
 GATHER_S = 1.0
 GATHER_PAUSE_S = 0.5
-# Lets the rates and loads after a move settle before the next one.
-RELIEF_PAUSE_S = 0.6
-# Loads older than this say nothing of a target.
-LOAD_AGE_S = 3.0
+# Lets the rates and loads after a move settle before the next one, at either end. Several busy
+# targets would else all relieve themselves at the expense of the same idle one.
+RELIEF_PAUSE_S = 1.0
+# After this long without an answer, the load in the other node's lease row is newer.
+LOAD_AGE_S = 1.5
 LEDGER_PATH = "/ebonyvalve/ledger/"
 PUSH_TIMEOUT_S = 0.5
 # A target that is about to get keys is answered when they are free, but within the second after
@@ -54,6 +55,8 @@
     leases_read_at: float = float("-inf")
     first_seen_at: float | None = None
     relieved_at: float = float("-inf")
+    # When targets last got keys from others, in seconds on the node's clock.
+    received_at: dict[identity.Lifetime, float] = dataclasses.field(default_factory=dict)
     # Nodes that are told of the newest ledger at once, since they wait for its keys.
     heirs: set[identity.NodeId] = dataclasses.field(default_factory=set)
 
@@ -160,6 +163,8 @@
     if before is not None and before.version >= row.version:
         return
     decoded = ledger.decode(row.value)
+    if before is not None:
+        _note_receivers(steward, before.ledger, decoded)
     steward.node.books[service] = node_module.Book(ledger=decoded, version=row.version)
     decision.record(
         log,
@@ -172,6 +177,12 @@
     )
 
 
+def _note_receivers(steward: Steward, before: ledger.Ledger, after: ledger.Ledger) -> None:
+    if before.spans:
+        now = steward.node.now()
+        steward.received_at.update(dict.fromkeys(ledger.find_receivers(before, after), now))
+
+
 async def announce(steward: Steward) -> None:
     """Write the node's own announcement whenever it changes, until cancelled.
 
@@ -231,7 +242,13 @@
             return False
     name = table.Name(table=LEASES, key=node.place.node)
     until_s = lease.read_latest(node.clock, node.now()) + lease.LEASE_S
-    row = lease.LeaseRow(until_s=until_s, incarnation=node.incarnation)
+    measured = node_module.measure(node)
+    row = lease.LeaseRow(
+        until_s=until_s,
+        incarnation=node.incarnation,
+        offered=measured.offered,
+        request_load=measured.work_s / measured.slots,
+    )
     done = await steward.store.commit(
         {name: steward.lease_version}, {name: msgspec.json.encode(row)}
     )
@@ -397,6 +414,7 @@
     )
     if isinstance(done, table.Committed):
         node.books[node.place.service] = node_module.Book(ledger=proposed, version=done.version)
+        _note_receivers(steward, based, proposed)
         own = node.place.node
         steward.heirs |= {
             identity.NodeId(name)
@@ -424,11 +442,26 @@
     own = next((one for one in situation.candidates if one.node == node.place.node), None)
     if own is None:
         return book
+    settling = {name for name, at in steward.received_at.items() if now < at + RELIEF_PAUSE_S} | {
+        span.heir for span in book.spans
+    }
+    if own.lifetime in settling:
+        return book
     held = ledger.list_held(book, own.lifetime)
     heat.forget(node.heat, lambda slot: any(span.first <= slot <= span.last for span in held))
     loads = {one.node: _estimate(steward, one) for one in situation.candidates}
-    others = [load for name, load in loads.items() if name != node.place.node]
-    moves = relief.find_moves(book, loads[own.node], others, heat.read_rates(node.heat, now))
+    others = [
+        load
+        for name, load in loads.items()
+        if name != node.place.node and load.candidate.lifetime not in settling
+    ]
+    moves = relief.find_moves(
+        book,
+        loads[own.node],
+        others,
+        heat.read_rates(node.heat, now),
+        mean=sum(load.offered for load in loads.values()) / len(loads),
+    )
     for move in moves:
         book = ledger.order_move(book, move.first, move.last, move.heir)
         decision.record(
@@ -456,12 +489,12 @@
             request_load=measured.work_s / measured.slots,
         )
     view = node_module.read_view(node, one.node)
-    is_fresh = node.now() - view.reported_at < LOAD_AGE_S
-    return relief.Load(
-        candidate=one,
-        offered=view.offered if is_fresh else 0.0,
-        request_load=view.work_s / view.slots,
-    )
+    told = node.leases.get(one.node)
+    if node.now() - view.reported_at < LOAD_AGE_S or told is None:
+        return relief.Load(
+            candidate=one, offered=view.offered, request_load=view.work_s / view.slots
+        )
+    return relief.Load(candidate=one, offered=told.row.offered, request_load=told.row.request_load)
 
 
 async def push_ledger(steward: Steward) -> None:
--- a/src/ebonyvalve/process/load/choice.py
+++ b/src/ebonyvalve/process/load/choice.py
@@ -11,6 +11,9 @@
 # A target that lost a request is passed by for this long, doubled each time up to the most.
 FIRST_AVOID_S = 0.3
 MOST_AVOID_S = 2.0
+# A queue that is full holds several times as much work as this, so that nothing idles while
+# further requests are refused without asking.
+FULL_PAUSE_S = 0.04
 # Old loads say little: work that was reported is over after about this many work times.
 STALE_WORKS = 4.0
 # What another zone must save in waiting, as bytes between zones cost and take longer.
@@ -32,6 +35,7 @@
     outstanding: int = 0
     failures: int = 0
     avoid_until: float = float("-inf")
+    full_until: float = float("-inf")
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -76,6 +80,7 @@
     :param now: seconds on the node's clock.
     """
     view.avoid_until = max(view.avoid_until, now + min(retry_after_s, FIRST_AVOID_S))
+    view.full_until = now + min(retry_after_s, FULL_PAUSE_S)
 
 
 def estimate(view: View, now: float, *, is_near: bool) -> float:
--- a/src/ebonyvalve/process/load/gate.py
+++ b/src/ebonyvalve/process/load/gate.py
@@ -21,7 +21,8 @@
 # An answer that came after its objective is worth a third, so that a queue longer than the
 # objective only makes every answer late.
 QUEUE_SHARE = 1.0
-MIN_RETRY_AFTER_S = 0.05
+# A caller that comes back sooner finds the same queue, and most come back only once or twice.
+MIN_RETRY_AFTER_S = 0.25
 RATE_WINDOW_S = 1.0
 
 
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -22,6 +22,7 @@
 MOST_TURNS = 6
 # Gives a node that has just lost a target time to learn of it.
 RETRY_AFTER_S = 0.4
+RETRY_SPREAD = 0.6
 
 SERVICE_HEADER = b"ebonyvalve-service"
 DEADLINE_HEADER = b"ebonyvalve-deadline-ms"
@@ -128,7 +129,9 @@
     if is_gone:
         result = outcome.doubt(outcome.Reason.CALLER_GONE)
     elif not told:
-        await refuse(caller, result, ended.retry_after_s)
+        # Callers that were refused together must not come back together.
+        spread = 1.0 + RETRY_SPREAD * (origin.node.draw() - 0.5)
+        await refuse(caller, result, ended.retry_after_s * spread)
     _record(origin, call, result, started_at, tried)
     return result
 
@@ -221,6 +224,10 @@
 ) -> delivery.Ended:
     node = origin.node
     view = node_module.read_view(node, name)
+    if node.now() < view.full_until and call.rules is not None and call.rules.slot is not None:
+        return delivery.Ended(
+            result=outcome.refuse(outcome.Reason.QUEUE_FULL), retry_after_s=RETRY_AFTER_S
+        )
     view.outstanding += 1
     try:
         if name == node.place.node:
@@ -230,7 +237,8 @@
             ended = await _hop(origin, call, caller, name, view)
     finally:
         view.outstanding -= 1
-    if ended.result.verdict is outcome.Verdict.NOT_RUN and ended.retry_after_s:
+    is_full = ended.result.reason is outcome.Reason.QUEUE_FULL
+    if is_full and ended.result.verdict is outcome.Verdict.NOT_RUN:
         choice.note_refusal(view, ended.retry_after_s, node.now())
     return ended
 
--- a/tests/process/keyspace/test_relief.py
+++ b/tests/process/keyspace/test_relief.py
@@ -24,15 +24,25 @@
     return relief.Load(candidate=one, offered=offered, request_load=WORK_S / SLOTS), own
 
 
+def find_moves(
+    book: ledger.Ledger,
+    rates: dict[int, float],
+    one: ledger.Candidate,
+    everyone: list[ledger.Candidate],
+) -> list[relief.Move]:
+    own, own_rates = measure(book, rates, one)
+    others = [measure(book, rates, other)[0] for other in everyone if other is not one]
+    mean = sum(load.offered for load in [own, *others]) / len(everyone)
+    return relief.find_moves(book, own, others, own_rates, mean=mean)
+
+
 def run_round(
     book: ledger.Ledger, rates: dict[int, float], everyone: list[ledger.Candidate]
 ) -> tuple[ledger.Ledger, int]:
     """Let every target look once, then pass on what moves."""
     moved = 0
     for one in everyone:
-        own, own_rates = measure(book, rates, one)
-        others = [measure(book, rates, other)[0] for other in everyone if other is not one]
-        for move in relief.find_moves(book, own, others, own_rates):
+        for move in find_moves(book, rates, one, everyone):
             book = ledger.order_move(book, move.first, move.last, move.heir)
             moved += move.last - move.first + 1
         book = ledger.pass_on(book, {span.first: "h" for span in book.spans if span.heir})
@@ -77,10 +87,7 @@
     everyone = [build_candidate(number) for number in range(2)]
     book = ledger.create(everyone)
     rates = {100: 200.0}
-    own, own_rates = measure(book, rates, everyone[0])
-    others = [measure(book, rates, everyone[1])[0]]
-    moves = relief.find_moves(book, own, others, own_rates)
-    assert moves == []
+    assert find_moves(book, rates, everyone[0], everyone) == []
 
 
 def test_nothing_is_planned_while_a_move_is_under_way() -> None:
@@ -88,7 +95,5 @@
     everyone = [build_candidate(number) for number in range(2)]
     book = ledger.create(everyone)
     rates = dict.fromkeys(range(100), 2.0)
-    own, own_rates = measure(book, rates, everyone[0])
-    others = [measure(book, rates, everyone[1])[0]]
     book = ledger.order_move(book, 0, 9, everyone[1])
-    assert relief.find_moves(book, own, others, own_rates) == []
+    assert find_moves(book, rates, everyone[0], everyone) == []
--- a/tests/process/load/test_choice.py
+++ b/tests/process/load/test_choice.py
@@ -81,3 +81,12 @@
 def test_nothing_to_choose() -> None:
     """A service without targets has no answer rather than an error."""
     assert choice.choose({}, set(), 0.0, lambda: 0.5) is None
+
+
+def test_full_queue_is_not_asked_again_at_once() -> None:
+    """A storm of refused callers costs the full target's node nothing for a moment."""
+    view = build_views([0.1])[NAMES[0]]
+    choice.note_refusal(view, 0.5, 1.0)
+    assert view.full_until == 1.0 + choice.FULL_PAUSE_S
+    choice.note_refusal(view, 0.01, 1.0)
+    assert view.full_until == 1.01
