Find lost nodes by a new connection, and refuse keys of a lost owner at once

Change: a node that owes answers for 0.4 s is asked on a new connection; if that fails, its requests end as lost and its keys are refused for a moment. Requests that one loss ends count as one loss.

--- a/src/ebonyvalve/connection/pool.py
+++ b/src/ebonyvalve/connection/pool.py
@@ -182,6 +182,46 @@
             pool.slots.pop(address, None)
 
 
+def find_doubtful(pool: Pool, *, p99_s: float | None) -> list[identity.Address]:
+    """Return the addresses that have not answered for too long on any connection.
+
+    :param pool: the pool.
+    :param p99_s: 99th percentile of the latency in seconds, if known.
+    """
+    return [
+        address
+        for address, slots in pool.slots.items()
+        if liveness.judge(
+            {name: slot.life for name, slot in slots.items()}, now=pool.now(), p99_s=p99_s
+        )
+        is not liveness.Health.PROGRESSING
+    ]
+
+
+async def probe(pool: Pool, address: identity.Address) -> bool:
+    """Open a connection to see whether the other end is there; keep it if it is.
+
+    If it is not, all requests on their way to it end as lost.
+
+    :param pool: the pool.
+    :param address: the other end.
+    """
+    opened = await open_new(pool, address)
+    if isinstance(opened, result.Success):
+        liveness.note_idle(opened.unwrap().life, pool.now())
+        _wake(pool)
+        return True
+    for slot in list(pool.slots[address].values()):
+        slot.is_silent = True
+        slot.scope.cancel()
+        if slot.life.phase is liveness.Phase.IDLE:
+            await discard(pool, address, slot)
+    decision.record(
+        log, logging.WARNING, "peer-lost", address=address, reason=opened.failure().value
+    )
+    return False
+
+
 def _drop(pool: Pool, address: identity.Address, slot: Slot) -> None:
     pool.slots[address].pop(slot.name, None)
     _wake(pool)
--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -393,8 +393,10 @@
 
     :param daemon: the daemon.
     """
+    ticks = timer.subscribe(daemon.timer, period_s=SWEEP_S)
     while True:
-        await trio.sleep(SWEEP_S)
+        await timer.tick(daemon.timer, ticks)
+        await origin.probe_peers(daemon.origin)
         await pool.sweep(daemon.origin.peers, p99_s=attempt.SLOW_ANSWER_S)
         await pool.sweep(daemon.origin.delivery.pool, p99_s=attempt.SLOW_ANSWER_S)
         config = daemon.origin.current.traffic
--- a/src/ebonyvalve/process/load/choice.py
+++ b/src/ebonyvalve/process/load/choice.py
@@ -10,7 +10,7 @@
 SPREAD = 0.2
 # A target that lost a request is passed by for this long, doubled each time up to the most.
 FIRST_AVOID_S = 0.3
-MOST_AVOID_S = 2.0
+MOST_AVOID_S = 1.2
 # A queue that is full holds several times as much work as this, so that nothing idles while
 # further requests are refused without asking.
 FULL_PAUSE_S = 0.04
@@ -68,6 +68,9 @@
     :param view: the state.
     :param now: seconds on the node's clock.
     """
+    if now < view.avoid_until and view.failures:
+        # One loss ends many requests at once, which must not count as many losses.
+        return
     view.avoid_until = now + min(MOST_AVOID_S, FIRST_AVOID_S * 2**view.failures)
     view.failures += 1
 
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from ebonyvalve.connection import pool, wire
+from ebonyvalve.connection import liveness, pool, wire
 from ebonyvalve.process import budget, decision, identity
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import ledger
@@ -17,6 +17,8 @@
 
 log = logging.getLogger(__name__)
 
+# Most answers come within this; after it, a new connection shows whether the node is there.
+SUSPECT_S = 0.4
 # A ledger that has just changed reaches all nodes within a few round trips to the store.
 MOVED_PAUSE_S = 0.03
 MOST_TURNS = 6
@@ -224,10 +226,16 @@
 ) -> delivery.Ended:
     node = origin.node
     view = node_module.read_view(node, name)
-    if node.now() < view.full_until and call.rules is not None and call.rules.slot is not None:
-        return delivery.Ended(
-            result=outcome.refuse(outcome.Reason.QUEUE_FULL), retry_after_s=RETRY_AFTER_S
-        )
+    if call.rules is not None and call.rules.slot is not None:
+        # Only this node's target holds the key, so that nothing but waiting is left.
+        if node.now() < view.full_until:
+            return delivery.Ended(
+                result=outcome.refuse(outcome.Reason.QUEUE_FULL), retry_after_s=RETRY_AFTER_S
+            )
+        if node.now() < view.avoid_until and view.failures > 0:
+            return delivery.Ended(
+                result=outcome.refuse(outcome.Reason.NO_OWNER), retry_after_s=RETRY_AFTER_S
+            )
     view.outstanding += 1
     try:
         if name == node.place.node:
@@ -298,6 +306,31 @@
     )
 
 
+async def probe_peers(origin: Origin) -> None:
+    """Find out which nodes are lost among those that owe answers.
+
+    A VM without power answers nothing on kept connections, and a request that waits for it would
+    be held until its deadline.
+
+    :param origin: the state.
+    """
+    doubtful = pool.find_doubtful(origin.peers, p99_s=SUSPECT_S / liveness.SILENT_FACTOR)
+    if not doubtful:
+        return
+    async with trio.open_nursery() as nursery:
+        for address in doubtful:
+            nursery.start_soon(_probe, origin, address)
+
+
+async def _probe(origin: Origin, address: identity.Address) -> None:
+    if await pool.probe(origin.peers, address):
+        return
+    node = origin.node
+    for name, one in node.members.items():
+        if one.address == address:
+            choice.note_failure(node_module.read_view(node, name), node.now())
+
+
 def strip(headers: exchange.Headers) -> exchange.Headers:
     """Return headers without those of the mesh.
 
