--- a/src/ebonyvalve/process/load/heat.py
+++ b/src/ebonyvalve/process/load/heat.py
@@ -23,16 +23,17 @@
     compacted_at: float = float("-inf")
 
 
-def note(heat: Heat, slot: int, now: float) -> None:
+def note(heat: Heat, slot: int, now: float, weight: float = 1.0) -> None:
     """Count one request.
 
     :param heat: the state.
     :param slot: its key.
     :param now: seconds on the node's clock.
+    :param weight: how much it counts.
     """
     _decay(heat, now)
-    heat.counts[slot] = heat.counts.get(slot, 0.0) + heat.scale
-    heat.total += heat.scale
+    heat.counts[slot] = heat.counts.get(slot, 0.0) + weight * heat.scale
+    heat.total += weight * heat.scale
 
 
 def read_rates(heat: Heat, now: float) -> dict[int, float]:
--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -18,6 +18,8 @@
 log = logging.getLogger(__name__)
 
 ANY_KEY = -1
+# Callers that are refused come back, mostly twice.
+REFUSED_WEIGHT = 1 / 3
 # A report that renews the grant comes with each heartbeat.
 GRANT_RETRY_S = 0.2
 # A process that has stopped is started again within about a second.
@@ -90,11 +92,16 @@
     refusal = await _find_refusal(delivery, call, rules)
     if refusal is not None:
         return refusal
-    heat.note(node.heat, ANY_KEY if rules.slot is None else rules.slot, node.now())
     demand = gate.Demand(
         deadline_at=call.deadline_at_s, objective_s=rules.objective_s, priority=rules.priority
     )
     admitted = gate.admit(node.gate, demand, node.now())
+    heat.note(
+        node.heat,
+        ANY_KEY if rules.slot is None else rules.slot,
+        node.now(),
+        weight=REFUSED_WEIGHT if admitted.ticket is None else 1.0,
+    )
     if admitted.ticket is None:
         return Ended(
             result=outcome.refuse(outcome.Reason.QUEUE_FULL), retry_after_s=admitted.retry_after_s
