--- a/src/ebonyvalve/process/keyspace/steward.py
+++ b/src/ebonyvalve/process/keyspace/steward.py
@@ -57,8 +57,8 @@
     relieved_at: float = float("-inf")
     # When targets last got keys from others, in seconds on the node's clock.
     received_at: dict[identity.Lifetime, float] = dataclasses.field(default_factory=dict)
-    # Nodes that are told of the newest ledger at once, since they wait for its keys.
-    heirs: set[identity.NodeId] = dataclasses.field(default_factory=set)
+    # Whether a ledger was written that the service's other nodes have not been told of.
+    has_news: bool = False
 
 
 async def follow_mesh(steward: Steward) -> None:
@@ -378,9 +378,7 @@
         return await _write(steward, name, table.MISSING, ledger.create(situation.candidates), {})
     proposed = plan.propose(book.ledger, situation)
     if proposed == book.ledger:
-        proposed = _relieve(steward, book.ledger, situation)
-    if proposed == book.ledger:
-        return False
+        return await _relieve_once(steward, name, book, situation)
     taken = {span.node for span in book.ledger.spans if span.node and span.node in situation.over}
     ended = {
         table.Name(table=LEASES, key=lost): node.leases[identity.NodeId(lost)].version
@@ -415,13 +413,7 @@
     if isinstance(done, table.Committed):
         node.books[node.place.service] = node_module.Book(ledger=proposed, version=done.version)
         _note_receivers(steward, based, proposed)
-        own = node.place.node
-        steward.heirs |= {
-            identity.NodeId(name)
-            for span in proposed.spans
-            for name in (span.node, span.heir_node)
-            if name and name != own and (span.heir or span not in based.spans)
-        }
+        steward.has_news = True
         for one in ended:
             node.leases.pop(identity.NodeId(one.key), None)
         node_module.pulse(node)
@@ -433,6 +425,18 @@
     return False
 
 
+async def _relieve_once(
+    steward: Steward, name: table.Name, book: node_module.Book, situation: plan.Situation
+) -> bool:
+    relieved = _relieve(steward, book.ledger, situation)
+    if relieved == book.ledger:
+        return False
+    is_written = await _write(steward, name, book.version, relieved, {})
+    if is_written:
+        steward.relieved_at = steward.node.now()
+    return is_written
+
+
 def _relieve(steward: Steward, book: ledger.Ledger, situation: plan.Situation) -> ledger.Ledger:
     """Return the ledger with moves that relieve the own target, if it is too busy."""
     node = steward.node
@@ -474,8 +478,6 @@
             own_load=round(loads[own.node].offered, 3),
             heir_load=round(loads[move.heir.node].offered, 3),
         )
-    if moves:
-        steward.relieved_at = now
     return book
 
 
@@ -498,7 +500,9 @@
 
 
 async def push_ledger(steward: Steward) -> None:
-    """Tell heirs of the newest ledger without the detour by the store, until cancelled.
+    """Tell the service's other nodes of a new ledger, until cancelled.
+
+    Heirs wait for its keys, and a write that is based on an older ledger fails.
 
     :param steward: the state.
     """
@@ -506,16 +510,20 @@
     while True:
         changed = node.changed
         book = node.books.get(node.place.service)
-        if not steward.heirs or book is None:
+        if not steward.has_news or book is None:
             await changed.wait()
             continue
-        names, steward.heirs = steward.heirs, set()
+        steward.has_news = False
+        others = [
+            one.address
+            for one in node.members.values()
+            if one.service == node.place.service and one.node != node.place.node
+        ]
         path = f"{LEDGER_PATH}{node.place.service}/{book.version}"
         request = http.Request(method="POST", path=path, body=ledger.encode(book.ledger))
         async with trio.open_nursery() as nursery:
-            for name in names:
-                if name in node.members:
-                    nursery.start_soon(_push, steward, node.members[name].address, request)
+            for address in others:
+                nursery.start_soon(_push, steward, address, request)
 
 
 async def _push(steward: Steward, address: identity.Address, request: http.Request) -> None:
