--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -7,7 +7,6 @@
 import random
 import secrets
 import signal
-import socket
 import sys
 
 from returns import result
@@ -15,14 +14,14 @@
 
 from ebonyvalve import errors
 from ebonyvalve.connection import pool
-from ebonyvalve.platform import announcement, dialect, operator, settings, store
+from ebonyvalve.platform import dialect, operator, reports, settings, sockets, store
 from ebonyvalve.process import budget, decision, http, identity, network, timer
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process import place as place_module
-from ebonyvalve.process.keyspace import grant, steward
+from ebonyvalve.process.keyspace import grant, records, steward, tenure
 from ebonyvalve.process.load import gate, heat
 from ebonyvalve.process.observation import output, tally
-from ebonyvalve.request import attempt, delivery, exchange, front, origin, outcome
+from ebonyvalve.request import attempt, delivery, exchange, front, origin, outcome, relay
 from ebonyvalve.version import traffic
 
 log = logging.getLogger(__name__)
@@ -36,13 +35,7 @@
 EXIT_MARGIN_S = 0.5
 SWEEP_S = 0.25
 DRAIN_POLL_S = 0.02
-# Connections may go silent without a reset, and a VM without power answers nothing.
-KEEP_ALIVE_S = 1
-KEEP_ALIVE_PROBES = 2
-USER_TIMEOUT_MS = 3000
-BACKLOG = 512
 MOST_CONNECTIONS = 2000
-REPORT_BYTES = 65_536
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -50,7 +43,7 @@
     """Everything that the process runs."""
 
     node: node_module.Node
-    steward: steward.Steward
+    steward: records.Steward
     origin: origin.Origin
     callers: front.Front
     peers: front.Front
@@ -80,11 +73,11 @@
     decision.record(log, logging.INFO, "start", node=place.node, service=place.service)
     async with trio.open_nursery() as nursery:
         for task in (
-            functools.partial(steward.follow_mesh, daemon.steward),
-            functools.partial(steward.announce, daemon.steward),
-            functools.partial(steward.keep_lease, daemon.steward),
+            functools.partial(records.follow_mesh, daemon.steward),
+            functools.partial(records.announce, daemon.steward),
+            functools.partial(tenure.keep_lease, daemon.steward),
             functools.partial(steward.tend, daemon.steward),
-            functools.partial(steward.push_ledger, daemon.steward),
+            functools.partial(records.push_ledger, daemon.steward),
             functools.partial(
                 operator.follow, daemon.node, daemon.origin.current, daemon.steward.store
             ),
@@ -93,13 +86,15 @@
             functools.partial(timer.run, daemon.timer),
         ):
             nursery.start_soon(task)
-        nursery.start_soon(listen, place.reports_address, build_reports(daemon))
-        nursery.start_soon(listen, place.ready_address, build_ready(daemon))
         nursery.start_soon(
-            listen, place.peers_address, functools.partial(front.serve, daemon.peers)
+            sockets.listen, place.reports_address, reports.build_reports(daemon.steward)
         )
+        nursery.start_soon(sockets.listen, place.ready_address, build_ready(daemon))
         nursery.start_soon(
-            listen, place.callers_address, functools.partial(front.serve, daemon.callers)
+            sockets.listen, place.peers_address, functools.partial(front.serve, daemon.peers)
+        )
+        nursery.start_soon(
+            sockets.listen, place.callers_address, functools.partial(front.serve, daemon.callers)
         )
         await wait_for_stop()
         await stop(daemon)
@@ -117,24 +112,25 @@
     node = node_module.Node(
         place=place,
         incarnation=identity.Incarnation(secrets.token_hex(4)),
+        wakeups=clock,
         now=now,
         draw=random.random,
         gate=gate.Gate(slots=1, cold_rate=0.0),
-        grantor=grant.start(now=now(), most_hold_s=steward.find_hold(place.heartbeat_s)),
+        grantor=grant.start(now=now(), most_hold_s=tenure.find_hold(place.heartbeat_s)),
         budget=budget.Budget(share=place.retries.ratio / 2),
         heat=heat.Heat(at=now()),
     )
-    client = store.Client(address=place.store_address, connect=connect, now=now)
-    keeper = steward.Steward(node=node, store=store.open_store(client), connect=connect)
+    client = store.Client(address=place.store_address, connect=sockets.connect, now=now)
+    keeper = records.Steward(node=node, store=store.open_store(client), connect=sockets.connect)
     local = delivery.Delivery(
         node=node,
-        pool=pool.Pool(connect=connect, now=now),
+        pool=pool.Pool(connect=sockets.connect, now=now),
         dialect=dialect.open_dialect(),
     )
     entry = origin.Origin(
         node=node,
         delivery=local,
-        peers=pool.Pool(connect=connect, now=now, bound=512),
+        peers=pool.Pool(connect=sockets.connect, now=now, bound=512),
         current=traffic.Current(),
     )
     callers = front.Front(
@@ -173,7 +169,7 @@
 
 async def handle_peer(
     entry: origin.Origin,
-    keeper: steward.Steward,
+    keeper: records.Steward,
     call: exchange.Call,
     caller: exchange.Caller,
 ) -> outcome.Outcome:
@@ -184,9 +180,9 @@
     :param call: the request.
     :param caller: the other node.
     """
-    if call.path.startswith(steward.LEDGER_PATH):
+    if call.path.startswith(records.LEDGER_PATH):
         return await take_ledger(keeper, call, caller)
-    if not origin.undress_hop(call, call.headers, entry.node.now()):
+    if not relay.undress_hop(call, call.headers, entry.node.now()):
         refusal = outcome.refuse(outcome.Reason.BAD_REQUEST)
         await origin.refuse(caller, refusal, 0.0)
         return refusal
@@ -195,7 +191,7 @@
 
 
 async def take_ledger(
-    keeper: steward.Steward, call: exchange.Call, caller: exchange.Caller
+    keeper: records.Steward, call: exchange.Call, caller: exchange.Caller
 ) -> outcome.Outcome:
     """Take a ledger that another node sends.
 
@@ -211,7 +207,7 @@
         data = chunk.unwrap()
         body += data
         call.is_whole = not data
-    status = 204 if steward.take_push(keeper, call.path, body) else 400
+    status = 204 if records.take_push(keeper, call.path, body) else 400
     await caller.reply(status, [])
     await caller.finish()
     return outcome.Outcome(verdict=outcome.Verdict.ANSWERED, status=status)
@@ -227,65 +223,6 @@
     return 60.0, current.traffic.limits.max_body_bytes
 
 
-async def connect(address: str) -> trio.abc.Stream:
-    """Open a TCP connection on which a silent other end is noticed.
-
-    :param address: an IP number and a port.
-    :raises OSError: when the connection is refused.
-    """
-    sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        await sock.connect(network.split_address(address))
-    except BaseException:
-        sock.close()
-        raise
-    set_options(sock)
-    return trio.SocketStream(sock)
-
-
-def set_options(sock: trio.socket.SocketType) -> None:
-    """Let the kernel notice another end that has fallen silent.
-
-    :param sock: a connected socket.
-    """
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-
-
-async def listen(address: str, serve: network.Serve) -> None:
-    """Accept connections until cancelled.
-
-    :param address: where.
-    :param serve: runs for each connection.
-    """
-    host, port = network.split_address(address)
-    listeners = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
-    await trio.serve_listeners(build_serve(serve), listeners)
-
-
-def build_serve(serve: network.Serve) -> network.Serve:
-    """Return a function that serves a connection with the socket's options set.
-
-    :param serve: runs for each connection.
-    """
-
-    async def run_one(stream: trio.abc.Stream) -> None:
-        assert isinstance(stream, trio.SocketStream)
-        try:
-            set_options(stream.socket)
-        except OSError:
-            # The other end has closed already.
-            await trio.aclose_forcefully(stream)
-            return
-        await serve(stream)
-
-    return run_one
-
-
 def build_ready(daemon: Daemon) -> network.Serve:
     """Return what tells the platform whether callers may come, and serves the metrics.
 
@@ -302,92 +239,6 @@
     return functools.partial(http.serve, respond)
 
 
-def build_reports(daemon: Daemon) -> network.Serve:
-    """Return what takes the status reports of the target beside this node.
-
-    :param daemon: the daemon.
-    """
-
-    async def respond(request: http.Request) -> http.Reply:
-        name = request.path.partition("?")[0].removeprefix(announcement.PATH)
-        if request.method == "PUT":
-            refusal = take_report(daemon, name, request.body)
-            if refusal is not None:
-                return refusal
-            await steward.await_keys(daemon.steward)
-            given = steward.answer_report(daemon.steward)
-            return http.Reply(status=200, body=announcement.encode(given))
-        if request.method == "DELETE":
-            return take_leave(daemon, name)
-        return http.Reply(status=404, body=b"{}")
-
-    return functools.partial(http.serve, respond, most_bytes=REPORT_BYTES)
-
-
-def take_report(daemon: Daemon, name: str, body: bytes) -> http.Reply | None:
-    """Take a status report; return why it is refused, if it is.
-
-    :param daemon: the daemon.
-    :param name: the target's id.
-    :param body: the report.
-    """
-    node = daemon.node
-    decoded = announcement.decode(name, body)
-    if isinstance(decoded, str):
-        decision.record(log, logging.WARNING, "report-unreadable", cause=decoded)
-        return http.Reply(status=400, body=b"{}")
-    if decoded.service != node.place.service or decoded.address != node.place.target_address:
-        decision.record(
-            log, logging.WARNING, "report-of-another", target=name, address=decoded.address
-        )
-        return http.Reply(status=409, body=b"{}")
-    known = node.target
-    if known is not None and not known.is_assumed and is_late(node, known, decoded):
-        decision.record(
-            log, logging.INFO, "report-late", target=name, sequence=decoded.report.sequence
-        )
-        return http.Reply(status=409, body=b"{}")
-    grant.take_report(node.grantor, decoded.report)
-    node_module.set_target(
-        node,
-        node_module.Target(
-            lifetime=decoded.report.lifetime,
-            born_ms=decoded.born_ms,
-            slots=decoded.slots,
-            state=decoded.state,
-            reported_at=node.now(),
-        ),
-        decoded.cold_left_s,
-    )
-    return None
-
-
-def is_late(
-    node: node_module.Node, known: node_module.Target, decoded: announcement.Announcement
-) -> bool:
-    """Return whether a report is older than what is known.
-
-    :param node: the node.
-    :param known: the target as known.
-    :param decoded: the report.
-    """
-    if decoded.report.lifetime == known.lifetime:
-        return decoded.report.sequence <= node.grantor.sequence
-    return decoded.born_ms < known.born_ms
-
-
-def take_leave(daemon: Daemon, name: str) -> http.Reply:
-    """Note that a target says that it is gone.
-
-    :param daemon: the daemon.
-    :param name: the target's id.
-    """
-    target = daemon.node.target
-    if target is not None and announcement.read_target(target.lifetime) == name:
-        node_module.set_gone(daemon.node, "has left", is_dead=False)
-    return http.Reply(status=200, body=b"{}")
-
-
 async def sweep(daemon: Daemon) -> None:
     """Retire silent connections, until cancelled.
 
@@ -425,7 +276,7 @@
     grace_s = daemon.node.place.grace_s - EXIT_MARGIN_S
     daemon.node.is_stopping = True
     with trio.move_on_after(grace_s):
-        await trio.sleep(LEAVE_S)
+        await node_module.pause(daemon.node, LEAVE_S)
         daemon.node.is_ending = True
         front.stop(daemon.callers)
         polled = timer.subscribe(daemon.timer, period_s=DRAIN_POLL_S)
--- a/src/ebonyvalve/platform/dialect.py
+++ b/src/ebonyvalve/platform/dialect.py
@@ -7,7 +7,7 @@
 from ebonyvalve.connection import wire
 from ebonyvalve.platform import announcement
 from ebonyvalve.process import identity
-from ebonyvalve.request import delivery, exchange, front, origin
+from ebonyvalve.request import delivery, exchange, front, origin, relay
 
 REQUEST_ID = b"x-attempt-id"
 # Milliseconds that the caller waits; a target stops work at what it receives.
@@ -107,9 +107,7 @@
     budget = wire.find_header(call.headers, BUDGET_MS)
     slot = wire.find_header(call.headers, KEY)
     call.headers = [
-        pair
-        for pair in call.headers
-        if pair[0] not in OWN and not pair[0].startswith(origin.PREFIX)
+        pair for pair in call.headers if pair[0] not in OWN and not pair[0].startswith(relay.PREFIX)
     ]
     is_slot = slot is not None and slot.isdigit() and int(slot) <= identity.LAST_SLOT
     return origin.Head(
--- a/src/ebonyvalve/platform/operator.py
+++ b/src/ebonyvalve/platform/operator.py
@@ -2,8 +2,6 @@
 
 import logging
 
-import trio
-
 from ebonyvalve.platform import configuration
 from ebonyvalve.process import decision, identity
 from ebonyvalve.process import node as node_module
@@ -38,11 +36,11 @@
             version = max(version, read.version)
             node.is_operator_known = node.config is not None
             if is_whole and not node.is_operator_known:
-                await trio.sleep(RETRY_S)
+                await node_module.pause(node, RETRY_S)
         elif read is table.Trouble.HISTORY_GONE:
             node.is_operator_known = False
         else:
-            await trio.sleep(RETRY_S * (1 + node.draw()))
+            await node_module.pause(node, RETRY_S * (1 + node.draw()))
 
 
 def apply(
--- /dev/null
+++ b/src/ebonyvalve/platform/reports.py
@@ -0,0 +1,99 @@
+"""Takes the status reports of the target beside this node."""
+
+import functools
+import logging
+
+from ebonyvalve.platform import announcement
+from ebonyvalve.process import decision, http, network
+from ebonyvalve.process import node as node_module
+from ebonyvalve.process.keyspace import grant, records, steward
+
+log = logging.getLogger(__name__)
+
+REPORT_BYTES = 65_536
+
+
+def build_reports(keeper: records.Steward) -> network.Serve:
+    """Return what takes the status reports of the target beside this node.
+
+    :param keeper: what the node has in the table.
+    """
+
+    async def respond(request: http.Request) -> http.Reply:
+        name = request.path.partition("?")[0].removeprefix(announcement.PATH)
+        if request.method == "PUT":
+            refusal = take_report(keeper, name, request.body)
+            if refusal is not None:
+                return refusal
+            await steward.await_keys(keeper)
+            given = steward.answer_report(keeper)
+            return http.Reply(status=200, body=announcement.encode(given))
+        if request.method == "DELETE":
+            return take_leave(keeper, name)
+        return http.Reply(status=404, body=b"{}")
+
+    return functools.partial(http.serve, respond, most_bytes=REPORT_BYTES)
+
+
+def take_report(keeper: records.Steward, name: str, body: bytes) -> http.Reply | None:
+    """Take a status report; return why it is refused, if it is.
+
+    :param keeper: what the node has in the table.
+    :param name: the target's id.
+    :param body: the report.
+    """
+    node = keeper.node
+    decoded = announcement.decode(name, body)
+    if isinstance(decoded, str):
+        decision.record(log, logging.WARNING, "report-unreadable", cause=decoded)
+        return http.Reply(status=400, body=b"{}")
+    if decoded.service != node.place.service or decoded.address != node.place.target_address:
+        decision.record(
+            log, logging.WARNING, "report-of-another", target=name, address=decoded.address
+        )
+        return http.Reply(status=409, body=b"{}")
+    known = node.target
+    if known is not None and not known.is_assumed and is_late(node, known, decoded):
+        decision.record(
+            log, logging.INFO, "report-late", target=name, sequence=decoded.report.sequence
+        )
+        return http.Reply(status=409, body=b"{}")
+    grant.take_report(node.grantor, decoded.report)
+    node_module.set_target(
+        node,
+        node_module.Target(
+            lifetime=decoded.report.lifetime,
+            born_ms=decoded.born_ms,
+            slots=decoded.slots,
+            state=decoded.state,
+            reported_at=node.now(),
+        ),
+        decoded.cold_left_s,
+    )
+    return None
+
+
+def is_late(
+    node: node_module.Node, known: node_module.Target, decoded: announcement.Announcement
+) -> bool:
+    """Return whether a report is older than what is known.
+
+    :param node: the node.
+    :param known: the target as known.
+    :param decoded: the report.
+    """
+    if decoded.report.lifetime == known.lifetime:
+        return decoded.report.sequence <= node.grantor.sequence
+    return decoded.born_ms < known.born_ms
+
+
+def take_leave(keeper: records.Steward, name: str) -> http.Reply:
+    """Note that a target says that it is gone.
+
+    :param keeper: what the node has in the table.
+    :param name: the target's id.
+    """
+    target = keeper.node.target
+    if target is not None and announcement.read_target(target.lifetime) == name:
+        node_module.set_gone(keeper.node, "has left", is_dead=False)
+    return http.Reply(status=200, body=b"{}")
--- /dev/null
+++ b/src/ebonyvalve/process/keyspace/records.py
@@ -0,0 +1,246 @@
+"""Members and ledgers as rows of the table, and what the nodes tell each other of them."""
+
+import dataclasses
+import logging
+
+import msgspec
+from returns import result
+import trio
+
+from ebonyvalve.process import budget, decision, http, identity, member, network
+from ebonyvalve.process import node as node_module
+from ebonyvalve.process.keyspace import lease, ledger
+from ebonyvalve.process.store import table
+
+log = logging.getLogger(__name__)
+
+MESH = table.TableName("mesh")
+MEMBER_PREFIX = "member/"
+BOOK_PREFIX = "book/"
+# A follow that returns nothing costs a call; silent connections are found by keep-alive probes.
+FOLLOW_S = 10.0
+# Changes of many rows at once are taken together.
+SETTLE_S = 0.8
+# A store that refuses is asked again soon, since its outages end without notice.
+RETRY_S = 0.25
+LEDGER_PATH = "/ebonyvalve/ledger/"
+PUSH_TIMEOUT_S = 0.5
+
+
+@dataclasses.dataclass(kw_only=True)
+class Steward:
+    """What the node has in the table, and how far it has read."""
+
+    node: node_module.Node
+    store: table.Store
+    connect: network.Connect
+    mesh_version: int = 0
+    announced: member.Member | None = None
+    lease_row: lease.LeaseRow | None = None
+    lease_version: int = table.MISSING
+    leases_read_at: float = float("-inf")
+    first_seen_at: float | None = None
+    relieved_at: float = float("-inf")
+    # When targets last got keys from others, in seconds on the node's clock.
+    received_at: dict[identity.Lifetime, float] = dataclasses.field(default_factory=dict)
+    # Whether a ledger was written that the service's other nodes have not been told of.
+    has_news: bool = False
+
+
+async def follow_mesh(steward: Steward) -> None:
+    """Read members and ledgers, and keep up with their changes, until cancelled.
+
+    :param steward: the state.
+    """
+    while True:
+        if not steward.node.is_mesh_known:
+            read = await steward.store.read(MESH)
+            is_whole = True
+        else:
+            read = await steward.store.follow(MESH, steward.mesh_version, FOLLOW_S)
+            is_whole = False
+        if isinstance(read, table.Rows):
+            take_rows(steward, read, is_whole=is_whole)
+            await node_module.pause(steward.node, SETTLE_S)
+            continue
+        if read is table.Trouble.HISTORY_GONE:
+            await read_again(steward)
+            continue
+        await node_module.pause(steward.node, RETRY_S * (1 + steward.node.draw()))
+
+
+async def read_again(steward: Steward) -> None:
+    read = await steward.store.read(MESH)
+    if isinstance(read, table.Rows):
+        take_rows(steward, read, is_whole=True)
+    else:
+        await node_module.pause(steward.node, RETRY_S)
+
+
+def take_rows(steward: Steward, read: table.Rows, *, is_whole: bool) -> None:
+    """Take in members and ledgers.
+
+    :param steward: the state.
+    :param read: the rows.
+    :param is_whole: whether they are all there are.
+    """
+    node = steward.node
+    if is_whole:
+        names = {row.name.key for row in read.rows}
+        for name in list(node.members):
+            if MEMBER_PREFIX + name not in names:
+                del node.members[name]
+    for row in read.rows:
+        _take_row(steward, row)
+    steward.mesh_version = max(steward.mesh_version, read.version)
+    budget.divide(node.budget, node.place.retries.slack, len(node.members))
+    if read.clock is not None:
+        node.clock = read.clock
+    node.is_mesh_known = True
+    node_module.pulse(node)
+
+
+def _take_row(steward: Steward, row: table.Row) -> None:
+    node = steward.node
+    key = row.name.key
+    try:
+        if key.startswith(MEMBER_PREFIX):
+            name = identity.NodeId(key.removeprefix(MEMBER_PREFIX))
+            if row.is_removed:
+                node.members.pop(name, None)
+            else:
+                _take_member(steward, member.decode(row.value))
+        elif key.startswith(BOOK_PREFIX) and not row.is_removed:
+            _take_book(steward, identity.ServiceId(key.removeprefix(BOOK_PREFIX)), row)
+    except msgspec.DecodeError as exc:
+        decision.record(log, logging.ERROR, "row-unreadable", row=key, cause=str(exc))
+
+
+def _take_member(steward: Steward, known: member.Member) -> None:
+    node = steward.node
+    before = node.members.get(known.node)
+    node.members[known.node] = known
+    if before is None or before.lifetime != known.lifetime or before.address != known.address:
+        node.views.pop(known.node, None)
+    # A node that starts again beside a living target need not wait for its next report.
+    if known.node == node.place.node and node.target is None:
+        node.target = node_module.Target(
+            lifetime=known.lifetime,
+            born_ms=0,
+            slots=known.slots,
+            state=known.state,
+            reported_at=node.now(),
+            is_assumed=True,
+        )
+        node.gate.slots = known.slots
+    decision.record(
+        log,
+        logging.INFO,
+        "member",
+        member=known.node,
+        target=known.lifetime,
+        state=known.state,
+        zone=known.zone,
+    )
+
+
+def _take_book(steward: Steward, service: identity.ServiceId, row: table.Row) -> None:
+    before = steward.node.books.get(service)
+    if before is not None and before.version >= row.version:
+        return
+    decoded = ledger.decode(row.value)
+    if before is not None:
+        note_receivers(steward, before.ledger, decoded)
+    steward.node.books[service] = node_module.Book(ledger=decoded, version=row.version)
+    decision.record(
+        log,
+        logging.INFO,
+        "ledger",
+        service=service,
+        version=row.version,
+        spans=len(decoded.spans),
+        moving=sum(1 for span in decoded.spans if span.heir),
+    )
+
+
+def note_receivers(steward: Steward, before: ledger.Ledger, after: ledger.Ledger) -> None:
+    if before.spans:
+        now = steward.node.now()
+        steward.received_at.update(dict.fromkeys(ledger.find_receivers(before, after), now))
+
+
+async def announce(steward: Steward) -> None:
+    """Write the node's own announcement whenever it changes, until cancelled.
+
+    :param steward: the state.
+    """
+    node = steward.node
+    while True:
+        changed = node.changed
+        own = node_module.describe(node)
+        if own is None or own == steward.announced:
+            await changed.wait()
+            continue
+        name = table.Name(table=MESH, key=MEMBER_PREFIX + node.place.node)
+        is_gone = own.state is member.TargetState.GONE
+        value = None if is_gone else member.encode(own)
+        done = await steward.store.commit({}, {name: value})
+        if isinstance(done, table.Committed):
+            steward.announced = own
+        else:
+            await node_module.pause(steward.node, RETRY_S)
+
+
+async def push_ledger(steward: Steward) -> None:
+    """Tell the service's other nodes of a new ledger, until cancelled.
+
+    Heirs wait for its keys, and a write that is based on an older ledger fails.
+
+    :param steward: the state.
+    """
+    node = steward.node
+    while True:
+        changed = node.changed
+        book = node.books.get(node.place.service)
+        if not steward.has_news or book is None:
+            await changed.wait()
+            continue
+        steward.has_news = False
+        others = [
+            one.address
+            for one in node.members.values()
+            if one.service == node.place.service and one.node != node.place.node
+        ]
+        path = f"{LEDGER_PATH}{node.place.service}/{book.version}"
+        request = http.Request(method="POST", path=path, body=ledger.encode(book.ledger))
+        async with trio.open_nursery() as nursery:
+            for address in others:
+                nursery.start_soon(_push, steward, address, request)
+
+
+async def _push(steward: Steward, address: identity.Address, request: http.Request) -> None:
+    sent = await http.fetch(steward.connect, address, request, timeout_s=PUSH_TIMEOUT_S)
+    if not isinstance(sent, result.Success):
+        # The node learns of it from the store a little later.
+        decision.record(
+            log, logging.INFO, "push-failed", address=address, cause=sent.failure().value
+        )
+
+
+def take_push(steward: Steward, path: str, body: bytes) -> bool:
+    """Take a ledger that another node sends; return whether it could be read.
+
+    :param steward: the state.
+    :param path: names the service and the version.
+    :param body: the ledger.
+    """
+    service, _, version = path.removeprefix(LEDGER_PATH).rpartition("/")
+    name = table.Name(table=MESH, key=BOOK_PREFIX + service)
+    try:
+        row = table.Row(name=name, value=body, version=int(version))
+        _take_book(steward, identity.ServiceId(service), row)
+    except (ValueError, msgspec.DecodeError) as exc:
+        decision.record(log, logging.ERROR, "push-unreadable", path=path, cause=str(exc))
+        return False
+    node_module.pulse(steward.node)
+    return True
--- /dev/null
+++ b/src/ebonyvalve/process/keyspace/tenure.py
@@ -0,0 +1,140 @@
+"""This node's lease in the table, and those of the others."""
+
+import logging
+
+import msgspec
+
+from ebonyvalve.process import decision, identity
+from ebonyvalve.process import node as node_module
+from ebonyvalve.process.keyspace import lease, records
+from ebonyvalve.process.store import table
+
+log = logging.getLogger(__name__)
+
+LEASES = table.TableName("lease")
+# Leases are read this often while members without one have joined.
+GATHER_PAUSE_S = 0.5
+
+
+async def keep_lease(steward: records.Steward) -> None:
+    """Renew the node's lease while its target holds keys, until cancelled.
+
+    :param steward: the state.
+    """
+    node = steward.node
+    while True:
+        if not node_module.is_keyed(node) or node.target is None:
+            await node.changed.wait()
+            continue
+        if await _renew(steward):
+            await read_leases(steward)
+            await _sleep_until_renewal(steward)
+        else:
+            await node_module.pause(steward.node, records.RETRY_S)
+
+
+async def _sleep_until_renewal(steward: records.Steward) -> None:
+    """Sleep for a renewal's period, reading leases sooner while members without one have joined."""
+    node = steward.node
+    renew_at = node.now() + lease.RENEW_S
+    while node.now() + GATHER_PAUSE_S < renew_at:
+        await node_module.pause(steward.node, GATHER_PAUSE_S)
+        joined = node_module.list_open_members(node, node.place.service)
+        if any(one.node not in node.leases for one in joined):
+            await read_leases(steward)
+    await node_module.pause(steward.node, max(0.0, renew_at - node.now()))
+
+
+async def _renew(steward: records.Steward) -> bool:
+    node = steward.node
+    if node.clock is None:
+        await read_leases(steward)
+        if node.clock is None:
+            return False
+    name = table.Name(table=LEASES, key=node.place.node)
+    until_s = lease.read_latest(node.clock, node.now()) + lease.LEASE_S
+    measured = node_module.measure(node)
+    row = lease.LeaseRow(
+        until_s=until_s,
+        incarnation=node.incarnation,
+        offered=measured.offered,
+        request_load=measured.work_s / measured.slots,
+    )
+    done = await steward.store.commit(
+        {name: steward.lease_version}, {name: msgspec.json.encode(row)}
+    )
+    if isinstance(done, table.Committed):
+        steward.lease_row, steward.lease_version = row, done.version
+        if done.clock is not None:
+            node.clock = done.clock
+        return True
+    if isinstance(done, table.Conflict) or done is table.Trouble.UNKNOWN:
+        await _recover_lease(steward, name)
+    return False
+
+
+async def _recover_lease(steward: records.Steward, name: table.Name) -> None:
+    """Find out which lease the table has after a conflict or a lost answer."""
+    read = await steward.store.read(LEASES)
+    if not isinstance(read, table.Rows):
+        return
+    rows = {row.name: row for row in read.rows}
+    found = rows.get(name)
+    if found is None:
+        # Another node has ended the lease and may have given the keys away.
+        steward.lease_row, steward.lease_version = None, table.MISSING
+        decision.record(log, logging.WARNING, "lease-lost", reason="removed by another node")
+        await records.read_again(steward)
+        return
+    if found.version == steward.lease_version:
+        return
+    decoded = msgspec.json.decode(found.value, type=lease.LeaseRow)
+    if decoded.incarnation != steward.node.incarnation:
+        # Left by the process before this one; its ledger may be older than what is read now.
+        await records.read_again(steward)
+    else:
+        steward.lease_row = decoded
+    steward.lease_version = found.version
+
+
+async def read_leases(steward: records.Steward) -> None:
+    node = steward.node
+    read = await steward.store.read(LEASES)
+    if not isinstance(read, table.Rows):
+        return
+    if read.clock is not None:
+        node.clock = read.clock
+    leases = {}
+    for row in read.rows:
+        try:
+            decoded = msgspec.json.decode(row.value, type=lease.LeaseRow)
+        except msgspec.DecodeError as exc:
+            decision.record(log, logging.ERROR, "row-unreadable", row=row.name, cause=str(exc))
+            continue
+        leases[identity.NodeId(row.name.key)] = node_module.OtherLease(
+            row=decoded, version=row.version
+        )
+    node.leases = leases
+    steward.leases_read_at = node.now()
+    node_module.pulse(node)
+
+
+def read_hold(steward: records.Steward) -> float:
+    """Return for how many seconds the target may be granted its keys now; 0 for not at all.
+
+    :param steward: the state.
+    """
+    node = steward.node
+    most_s = min(node.place.most_hold_s, find_hold(node.place.heartbeat_s))
+    return lease.find_hold(steward.lease_row, node.clock, node.now(), most_s)
+
+
+def find_hold(heartbeat_s: float) -> float:
+    """Return for how many seconds a target holds its keys without a further answer.
+
+    Four lost reports in a row are rare; a target that has fallen silent blocks its keys for as
+    long as this.
+
+    :param heartbeat_s: seconds between two reports.
+    """
+    return max(4.0, 4.0 * heartbeat_s)
--- a/src/ebonyvalve/process/node.py
+++ b/src/ebonyvalve/process/node.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from ebonyvalve.process import budget, decision, identity, member, place
+from ebonyvalve.process import budget, decision, identity, member, place, timer
 from ebonyvalve.process.keyspace import grant, lease, ledger
 from ebonyvalve.process.load import choice, gate, heat, policy
 from ebonyvalve.process.observation import tally
@@ -58,6 +58,7 @@
 
     place: place.Place
     incarnation: identity.Incarnation
+    wakeups: timer.Timer
     now: collections.abc.Callable[[], float]
     draw: collections.abc.Callable[[], float]
     gate: gate.Gate
@@ -98,6 +99,15 @@
     node.changed = trio.Event()
 
 
+async def pause(node: Node, seconds: float) -> None:
+    """Wait on the node's timer service.
+
+    :param node: the node.
+    :param seconds: how long.
+    """
+    await timer.wait_until(node.wakeups, node.now() + seconds)
+
+
 def is_ready(node: Node) -> bool:
     """Return whether callers may send requests here.
 
--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -3,20 +3,17 @@
 import collections.abc
 import dataclasses
 import enum
-import logging
 
 from returns import result
 import trio
 
 from ebonyvalve.connection import pool
-from ebonyvalve.process import identity
+from ebonyvalve.process import identity, timer
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant, ledger
 from ebonyvalve.process.load import gate, heat
 from ebonyvalve.request import attempt, dispatch, exchange, outcome
 
-log = logging.getLogger(__name__)
-
 ANY_KEY = -1
 # Callers that are refused come back, mostly twice.
 REFUSED_WEIGHT = 1 / 3
@@ -28,6 +25,8 @@
 HANDOVER_S = 1.6
 # A process that has ended refuses connections at once and for as long as it takes to start.
 CONFIRM_S = 0.1
+# Cold targets have room again, and waiting requests become late, as time passes.
+QUEUE_TICK_S = 0.03
 
 
 class Judgement(enum.Enum):
@@ -221,8 +220,9 @@
 
     :param delivery: the state.
     """
+    ticks = timer.subscribe(delivery.node.wakeups, period_s=QUEUE_TICK_S)
     while True:
-        await trio.sleep(0.02 if delivery.node.gate.waiting else 0.1)
+        await timer.tick(delivery.node.wakeups, ticks)
         if delivery.node.gate.waiting:
             wake(delivery)
 
@@ -274,7 +274,7 @@
     delivery.is_confirming = True
     try:
         with trio.CancelScope(shield=True):
-            await trio.sleep(CONFIRM_S)
+            await node_module.pause(delivery.node, CONFIRM_S)
             address = delivery.node.place.target_address
             opened = await pool.open_new(delivery.pool, address)
             target = delivery.node.target
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -12,7 +12,7 @@
 from ebonyvalve.process.keyspace import ledger
 from ebonyvalve.process.load import choice
 from ebonyvalve.process.observation import tally
-from ebonyvalve.request import attempt, delivery, dispatch, exchange, held, outcome
+from ebonyvalve.request import attempt, delivery, dispatch, exchange, held, outcome, relay
 from ebonyvalve.version import traffic
 
 log = logging.getLogger(__name__)
@@ -26,16 +26,6 @@
 RETRY_AFTER_S = 0.4
 RETRY_SPREAD = 0.6
 
-SERVICE_HEADER = b"ebonyvalve-service"
-DEADLINE_HEADER = b"ebonyvalve-deadline-ms"
-ORIGIN_HEADER = b"ebonyvalve-origin"
-RULES_HEADER = b"ebonyvalve-rules"
-LOAD_HEADER = b"ebonyvalve-load"
-REFUSED_HEADER = b"ebonyvalve-refused"
-OWNER_HEADER = b"ebonyvalve-owner"
-RETRY_AFTER_HEADER = b"retry-after"
-PREFIX = b"ebonyvalve-"
-
 
 @dataclasses.dataclass(kw_only=True)
 class Origin:
@@ -174,7 +164,7 @@
             is_news = ended.owner is not None and ended.owner not in tried
             owner = ended.owner
             if not is_news:
-                await trio.sleep(MOVED_PAUSE_S * (turn + 1))
+                await node_module.pause(node, MOVED_PAUSE_S * (turn + 1))
     if offered and ended.result.verdict is outcome.Verdict.NOT_RUN:
         # An earlier attempt may have run, so that the refusal of the last one is not the truth.
         ended.result = outcome.doubt(outcome.Reason.CONNECTION_LOST)
@@ -266,19 +256,19 @@
         )
     refused: list[delivery.Ended] = []
 
-    def relay(status: int, headers: exchange.Headers) -> exchange.Headers | None:
-        _take_load(view, headers, node.now())
-        reason = wire.find_header(headers, REFUSED_HEADER)
+    def take_head(status: int, headers: exchange.Headers) -> exchange.Headers | None:
+        relay.take_load(view, headers, node.now())
+        reason = wire.find_header(headers, relay.REFUSED_HEADER)
         if reason is not None:
-            refused.append(_read_refusal(reason, headers))
+            refused.append(relay.read_refusal(reason, headers))
             return None
-        return strip(dispatch.filter_headers(headers))
+        return relay.strip(dispatch.filter_headers(headers))
 
     way = attempt.Way(
         pool=origin.peers,
         address=peer.address,
-        extra=dress_hop(call, node.now()),
-        relay=relay,
+        extra=relay.dress_hop(call, node.now()),
+        relay=take_head,
         p99_s=attempt.SLOW_ANSWER_S,
     )
     ended = attempt.Result()
@@ -293,19 +283,6 @@
     )
 
 
-def _read_refusal(value: bytes, headers: exchange.Headers) -> delivery.Ended:
-    verdict, _, reason = value.decode().partition(":")
-    retry_after = wire.find_header(headers, RETRY_AFTER_HEADER) or b"0"
-    owner = wire.find_header(headers, OWNER_HEADER)
-    why = outcome.Reason(reason)
-    is_not_run = verdict == outcome.Verdict.NOT_RUN.value
-    return delivery.Ended(
-        result=outcome.refuse(why) if is_not_run else outcome.doubt(why),
-        retry_after_s=float(retry_after),
-        owner=identity.NodeId(owner.decode()) if owner else None,
-    )
-
-
 async def probe_peers(origin: Origin) -> None:
     """Find out which nodes are lost among those that owe answers.
 
@@ -331,84 +308,6 @@
             choice.note_failure(node_module.read_view(node, name), node.now())
 
 
-def strip(headers: exchange.Headers) -> exchange.Headers:
-    """Return headers without those of the mesh.
-
-    :param headers: pairs with names in lower case.
-    """
-    return [pair for pair in headers if not pair[0].startswith(PREFIX)]
-
-
-def dress_hop(call: exchange.Call, now: float) -> exchange.Headers:
-    """Return the headers that tell another node what it needs of a request.
-
-    :param call: the request, with its rules.
-    :param now: seconds on the node's clock.
-    """
-    rules = call.rules
-    assert rules is not None
-    left_ms = max(1, int((call.deadline_at_s - now) * 1000))
-    slot = "" if rules.slot is None else str(rules.slot)
-    packed = (
-        f"{int(rules.is_repeatable)},{rules.attempts},{rules.priority},"
-        f"{int(rules.objective_s * 1000)},{slot}"
-    )
-    return [
-        (SERVICE_HEADER, call.service.encode()),
-        (DEADLINE_HEADER, str(left_ms).encode()),
-        (ORIGIN_HEADER, rules.origin.encode()),
-        (RULES_HEADER, packed.encode()),
-    ]
-
-
-def undress_hop(call: exchange.Call, headers: exchange.Headers, now: float) -> bool:
-    """Read what :func:`dress_hop` wrote into a request; return whether it was all there.
-
-    :param call: the request, as read.
-    :param headers: its headers.
-    :param now: seconds on the node's clock.
-    """
-    found = {name: value.decode() for name, value in headers if name.startswith(PREFIX)}
-    try:
-        repeatable, attempts, priority, objective_ms, slot = found[RULES_HEADER].split(",")
-        call.service = identity.ServiceId(found[SERVICE_HEADER])
-        call.deadline_at_s = now + int(found[DEADLINE_HEADER]) / 1000
-        call.rules = exchange.Rules(
-            is_repeatable=repeatable == "1",
-            attempts=int(attempts),
-            priority=int(priority),
-            objective_s=int(objective_ms) / 1000,
-            origin=identity.ServiceId(found[ORIGIN_HEADER]),
-            slot=int(slot) if slot else None,
-        )
-    except (KeyError, ValueError) as exc:
-        decision.record(log, logging.WARNING, "hop-unreadable", cause=repr(exc))
-        return False
-    return True
-
-
-def _take_load(view: choice.View, headers: exchange.Headers, now: float) -> None:
-    value = wire.find_header(headers, LOAD_HEADER)
-    if value is None:
-        return
-    busy, slots, work_ms, offered = value.split(b",")
-    report = choice.Report(
-        busy=int(busy), slots=int(slots), work_s=int(work_ms) / 1000, offered=float(offered)
-    )
-    choice.note_load(view, report, now)
-
-
-def list_load(node: node_module.Node) -> exchange.Headers:
-    """Return the header that tells another node the load of this node's target.
-
-    :param node: the node.
-    """
-    load = node_module.measure(node)
-    work_ms = max(1, int(load.work_s * 1000))
-    value = f"{load.busy},{load.slots},{work_ms},{load.offered:.3f}"
-    return [(LOAD_HEADER, value.encode())]
-
-
 async def serve_hop(
     origin: Origin, call: exchange.Call, caller: exchange.Caller
 ) -> outcome.Outcome:
@@ -422,7 +321,7 @@
     started_at = node.now()
 
     async def reply(status: int, headers: exchange.Headers) -> bool:
-        return await caller.reply(status, headers + list_load(node))
+        return await caller.reply(status, headers + relay.list_load(node))
 
     passing = dataclasses.replace(caller, reply=reply)
     ended = delivery.Ended(result=outcome.doubt(outcome.Reason.DEADLINE))
@@ -442,9 +341,9 @@
             nursery.cancel_scope.cancel()
     if not is_gone and not ended.is_told and ended.result.verdict is not outcome.Verdict.ANSWERED:
         why = f"{ended.result.verdict.value}:{ended.result.reason.value}"
-        extra = [(REFUSED_HEADER, why.encode()), *list_load(node)]
+        extra = [(relay.REFUSED_HEADER, why.encode()), *relay.list_load(node)]
         if ended.owner is not None:
-            extra.append((OWNER_HEADER, ended.owner.encode()))
+            extra.append((relay.OWNER_HEADER, ended.owner.encode()))
         await refuse(caller, ended.result, ended.retry_after_s, extra)
     _record(origin, call, ended.result, started_at, [node.place.node])
     return ended.result
@@ -470,7 +369,7 @@
         *(extra or []),
     ]
     if retry_after_s > 0 and result.verdict is outcome.Verdict.NOT_RUN:
-        headers.append((RETRY_AFTER_HEADER, f"{retry_after_s:.3f}".encode()))
+        headers.append((relay.RETRY_AFTER_HEADER, f"{retry_after_s:.3f}".encode()))
     status = result.status
     if result.verdict is outcome.Verdict.NOT_RUN and status not in (400, 404):
         # Whatever kept the request from running, this status promises that it has not run.
--- a/tests/process/keyspace/test_steward.py
+++ b/tests/process/keyspace/test_steward.py
@@ -11,9 +11,9 @@
 import trio.testing
 
 from ebonyvalve.platform import store as store_module
-from ebonyvalve.process import budget, http, identity, member, place
+from ebonyvalve.process import budget, http, identity, member, place, timer
 from ebonyvalve.process import node as node_module
-from ebonyvalve.process.keyspace import grant, lease, ledger, steward
+from ebonyvalve.process.keyspace import grant, lease, ledger, records, steward, tenure
 from ebonyvalve.process.load import gate, heat, policy
 from ebonyvalve.standin import metadata
 
@@ -42,7 +42,7 @@
     name: identity.NodeId
     number: int
     scope: trio.CancelScope | None = None
-    keeper: steward.Steward | None = None
+    keeper: records.Steward | None = None
     target: Target | None = None
     is_frozen: bool = False
 
@@ -89,7 +89,7 @@
 )
 
 
-def build_keeper(world: World, machine: Machine) -> steward.Steward:
+def build_keeper(world: World, machine: Machine) -> records.Steward:
     async def connect(address: str) -> trio.abc.Stream:
         if address != "store:1":
             raise OSError("nodes learn from the store only in this test")
@@ -99,33 +99,36 @@
         return ours
 
     now = trio.current_time
+    wakeups = timer.Timer(clock=now)
     rng = random.Random(machine.number)
     node = node_module.Node(
         place=build_place(machine.name),
         incarnation=identity.Incarnation(str(next(world.births))),
+        wakeups=wakeups,
         now=now,
         draw=rng.random,
         gate=gate.Gate(slots=1, cold_rate=0.0),
-        grantor=grant.start(now=now(), most_hold_s=steward.find_hold(HEARTBEAT_S)),
+        grantor=grant.start(now=now(), most_hold_s=tenure.find_hold(HEARTBEAT_S)),
         budget=budget.Budget(share=0.1),
         heat=heat.Heat(at=now()),
         config=identity.ConfigVersion(1),
         policies={SERVICE: POLICY},
     )
     client = store_module.Client(address="store:1", connect=connect, now=now)
-    return steward.Steward(node=node, store=store_module.open_store(client), connect=connect)
+    return records.Steward(node=node, store=store_module.open_store(client), connect=connect)
 
 
 async def run_node(world: World, machine: Machine) -> None:
     with trio.CancelScope() as machine.scope:
         keeper = machine.keeper = build_keeper(world, machine)
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(timer.run, keeper.node.wakeups)
             for task in (
-                steward.follow_mesh,
-                steward.announce,
-                steward.keep_lease,
+                records.follow_mesh,
+                records.announce,
+                tenure.keep_lease,
                 steward.tend,
-                steward.push_ledger,
+                records.push_ledger,
             ):
                 nursery.start_soon(task, keeper)
     machine.keeper = None
@@ -147,7 +150,7 @@
         target.holds.clear()
 
 
-async def report(machine: Machine, keeper: steward.Steward, target: Target) -> bool:
+async def report(machine: Machine, keeper: records.Steward, target: Target) -> bool:
     target.sequence += 1
     sent_at = trio.current_time()
     rows = tuple((first, last, fence) for (first, last), fence in target.holds.items())
