--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -263,7 +263,7 @@
     if judged is Judgement.SPOILED:
         return Ended(result=outcome.doubt(outcome.Reason.CONNECTION_LOST))
     if judged is Judgement.MISPLACED:
-        return Ended(result=outcome.refuse(outcome.Reason.MOVED), retry_after_s=GRANT_RETRY_S)
+        return Ended(result=outcome.refuse(outcome.Reason.STALE_FENCE), retry_after_s=GRANT_RETRY_S)
     return Ended(result=outcome.refuse(outcome.Reason.TARGET_SHED), retry_after_s=node.gate.work_s)
 
 
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -22,6 +22,13 @@
 # A ledger that has just changed reaches all nodes within a few round trips to the store.
 MOVED_PAUSE_S = 0.03
 MOST_TURNS = 6
+# The request has reached a target, which did not run it. Sending it on is a repeat like any other,
+# or targets that shed would be asked several times as often as they can bear.
+TURNED_AWAY = frozenset({outcome.Reason.TARGET_SHED, outcome.Reason.STALE_FENCE})
+# A request for a key may find it elsewhere, or back in a moment.
+WORTH_A_TURN = frozenset(
+    {outcome.Reason.MOVED, outcome.Reason.STALE_FENCE, outcome.Reason.CONNECTION_LOST}
+)
 # Gives a node that has just lost a target time to learn of it.
 RETRY_AFTER_S = 0.4
 RETRY_SPREAD = 0.6
@@ -157,9 +164,11 @@
                 break
             if not budget.spend(node.budget):
                 break
+        if ended.result.reason in TURNED_AWAY and not budget.spend(node.budget):
+            break
         avoided.add(name)
         if rules.slot is not None:
-            if ended.result.reason not in (outcome.Reason.MOVED, outcome.Reason.CONNECTION_LOST):
+            if ended.result.reason not in WORTH_A_TURN:
                 break
             is_news = ended.owner is not None and ended.owner not in tried
             owner = ended.owner
@@ -235,7 +244,7 @@
             ended = await _hop(origin, call, caller, name, view)
     finally:
         view.outstanding -= 1
-    is_full = ended.result.reason is outcome.Reason.QUEUE_FULL
+    is_full = ended.result.reason in (outcome.Reason.QUEUE_FULL, outcome.Reason.TARGET_SHED)
     if is_full and ended.result.verdict is outcome.Verdict.NOT_RUN:
         choice.note_refusal(view, ended.retry_after_s, node.now())
     return ended
--- /dev/null
+++ b/tests/request/test_origin.py
@@ -0,0 +1,165 @@
+"""Attempts at several targets: what may be repeated, and what the shared budget allows."""
+
+import collections.abc
+
+import pytest
+import trio
+
+from ebonyvalve.connection import pool
+from ebonyvalve.process import budget, identity, member, place, timer
+from ebonyvalve.process import node as node_module
+from ebonyvalve.process.keyspace import grant
+from ebonyvalve.process.load import gate, heat
+from ebonyvalve.request import delivery, exchange, origin, outcome
+from ebonyvalve.version import traffic
+
+ORDERS = identity.ServiceId("orders")
+NAMES = [identity.NodeId(f"n{number}") for number in range(4)]
+
+
+def build_origin(level: float) -> origin.Origin:
+    address = identity.Address("10.0.0.1:1")
+    own = place.Place(
+        node=identity.NodeId("me"),
+        zone=identity.ZoneId("z1"),
+        service=identity.ServiceId("lookup"),
+        target_address=address,
+        callers_address=address,
+        peers_address=address,
+        ready_address=address,
+        reports_address=address,
+        store_address=address,
+        heartbeat_s=1.0,
+        most_hold_s=10.0,
+        drain_s=2.0,
+        grace_s=6.0,
+        cold_excess=1.5,
+        cold_slack=5.0,
+        retries=place.RetryAllowance(),
+    )
+    wakeups = timer.Timer(clock=trio.current_time)
+    node = node_module.Node(
+        place=own,
+        incarnation=identity.Incarnation("a"),
+        wakeups=wakeups,
+        now=trio.current_time,
+        draw=lambda: 0.5,
+        gate=gate.Gate(slots=1, cold_rate=0.0),
+        grantor=grant.start(now=0.0, most_hold_s=4.0),
+        budget=budget.Budget(share=0.0, burst=level, level=level),
+        heat=heat.Heat(at=0.0),
+    )
+    for name in NAMES:
+        node.members[name] = member.Member(
+            node=name,
+            address=identity.Address(f"{name}:1"),
+            zone=identity.ZoneId("z1"),
+            service=ORDERS,
+            lifetime=identity.Lifetime(f"{name}@1"),
+            slots=4,
+            state=member.TargetState.READY,
+        )
+
+    async def connect(_: str) -> trio.abc.Stream:
+        raise OSError("not used")
+
+    dialect = delivery.Dialect(
+        dress=lambda call, lifetime, budget_s: [],
+        judge=lambda status, headers: delivery.Judgement.ANSWER,
+        is_foreign=lambda headers, request_id: False,
+    )
+    peers = pool.Pool(connect=connect, now=trio.current_time)
+    return origin.Origin(
+        node=node,
+        delivery=delivery.Delivery(node=node, pool=peers, dialect=dialect),
+        peers=peers,
+        current=traffic.Current(),
+    )
+
+
+def build_call(*, is_repeatable: bool) -> exchange.Call:
+    return exchange.Call(
+        request_id="r1",
+        service=ORDERS,
+        key=identity.KeyId(""),
+        method="POST",
+        path="/orders/1",
+        headers=[],
+        length=0,
+        deadline_at_s=trio.current_time() + 2.0,
+        is_hop=False,
+        is_whole=True,
+        rules=exchange.Rules(
+            is_repeatable=is_repeatable,
+            attempts=2,
+            priority=1,
+            objective_s=0.4,
+            origin=identity.ServiceId("lookup"),
+        ),
+    )
+
+
+async def run(
+    monkeypatch: pytest.MonkeyPatch,
+    results: collections.abc.Sequence[outcome.Outcome],
+    *,
+    level: float,
+    is_repeatable: bool,
+) -> tuple[int, outcome.Outcome]:
+    """Return how many targets were tried and how the request ended."""
+    entry = build_origin(level)
+    left = list(results)
+
+    async def try_one(*_: object) -> delivery.Ended:
+        return delivery.Ended(result=left.pop(0) if left else results[-1], retry_after_s=0.1)
+
+    monkeypatch.setattr(origin, "_try_one", try_one)
+    tried: list[identity.NodeId] = []
+    caller = exchange.Caller(
+        receive=None, reply=None, write=None, finish=None, wait_gone=None  # type: ignore[arg-type]
+    )
+    call = build_call(is_repeatable=is_repeatable)
+    ended = await origin._try_all(entry, call, caller, tried)
+    return len(tried), ended.result
+
+
+SHED = outcome.refuse(outcome.Reason.TARGET_SHED)
+FULL = outcome.refuse(outcome.Reason.QUEUE_FULL)
+LOST = outcome.doubt(outcome.Reason.CONNECTION_LOST)
+ANSWERED = outcome.Outcome(verdict=outcome.Verdict.ANSWERED, status=200)
+
+
+@pytest.mark.parametrize(
+    ("results", "level", "is_repeatable", "tries"),
+    [
+        # A refusal by a node costs its target nothing, so that all may be asked.
+        ([FULL], 0.0, False, 4),
+        ([FULL, ANSWERED], 0.0, False, 2),
+        # Targets that shed: each further one draws on the budget that all nodes share.
+        ([SHED], 0.0, False, 1),
+        ([SHED], 2.0, False, 3),
+        ([SHED, ANSWERED], 1.0, False, 2),
+        # A lost answer: only what may run twice is sent again, within the route's attempts.
+        ([LOST], 9.0, False, 1),
+        ([LOST], 9.0, True, 2),
+        ([LOST], 0.0, True, 1),
+    ],
+)
+async def test_how_many_targets_are_tried(
+    monkeypatch: pytest.MonkeyPatch,
+    results: list[outcome.Outcome],
+    level: float,
+    is_repeatable: bool,
+    tries: int,
+) -> None:
+    """Load pattern: all targets of a service shed half of what they get."""
+    tried, _ = await run(monkeypatch, results, level=level, is_repeatable=is_repeatable)
+    assert tried == tries
+
+
+async def test_refusal_after_a_lost_answer_is_no_refusal(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An answer that says "not run" must be true of all attempts."""
+    _, ended = await run(monkeypatch, [LOST, FULL], level=9.0, is_repeatable=True)
+    assert ended.verdict is outcome.Verdict.UNKNOWN
