Look for news in the store when it returns, and when another node names newer ones

Ruled out: shorter follows, each of which is a priced call of every node. Change: the follows begin anew when any call is answered again; requests and answers between nodes carry the newest row of the operator that was applied.

--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -120,7 +120,12 @@
         budget=budget.Budget(share=place.retries.ratio / 2),
         heat=heat.Heat(at=now()),
     )
-    client = store.Client(address=place.store_address, connect=sockets.connect, now=now)
+    client = store.Client(
+        address=place.store_address,
+        connect=sockets.connect,
+        now=now,
+        on_return=functools.partial(node_module.look_again, node),
+    )
     keeper = records.Steward(node=node, store=store.open_store(client), connect=sockets.connect)
     local = delivery.Delivery(
         node=node,
@@ -182,6 +187,7 @@
     """
     if call.path.startswith(records.LEDGER_PATH):
         return await take_ledger(keeper, call, caller)
+    relay.take_seen(entry.node, call.headers)
     if not relay.undress_hop(call, call.headers, entry.node.now()):
         refusal = outcome.refuse(outcome.Reason.BAD_REQUEST)
         await origin.refuse(caller, refusal, 0.0)
--- a/src/ebonyvalve/platform/operator.py
+++ b/src/ebonyvalve/platform/operator.py
@@ -1,5 +1,6 @@
 """Follows what the operator writes into the store: the configuration and evacuated zones."""
 
+import functools
 import logging
 
 from ebonyvalve.platform import configuration
@@ -27,10 +28,15 @@
     version = 0
     while True:
         is_whole = not node.is_operator_known
+        read: table.Rows | table.Trouble | None
         if is_whole:
             read = await store.read(OPERATOR)
         else:
-            read = await store.follow(OPERATOR, version, FOLLOW_S)
+            read = await node_module.interrupt(
+                node, functools.partial(store.follow, OPERATOR, version, FOLLOW_S)
+            )
+            if read is None:
+                continue
         if isinstance(read, table.Rows):
             apply(node, current, read, is_whole=is_whole)
             version = max(version, read.version)
@@ -53,6 +59,8 @@
     :param read: the rows.
     :param is_whole: whether they are all there are.
     """
+    newest = max((row.version for row in read.rows), default=0)
+    node.operator_version = max(node.operator_version, newest)
     zones = set() if is_whole else set(node.evacuated)
     for row in read.rows:
         if row.name.key == CONFIG and not row.is_removed:
--- a/src/ebonyvalve/platform/store.py
+++ b/src/ebonyvalve/platform/store.py
@@ -50,11 +50,15 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Client:
-    """Kept connections to the store, one for each call under way."""
+    """Kept connections to the store, one for each call under way.
+
+    ``on_return`` is called when the store answers again.
+    """
 
     address: str
     connect: network.Connect
     now: collections.abc.Callable[[], float]
+    on_return: collections.abc.Callable[[], None] = lambda: None
     idle: list[tuple[trio.abc.Stream, h11.Connection]] = dataclasses.field(default_factory=list)
     is_reachable: bool = True
 
@@ -250,6 +254,8 @@
     """Log the loss and the return of the store, once each."""
     if client.is_reachable != (trouble is None):
         client.is_reachable = trouble is None
+        if client.is_reachable:
+            client.on_return()
         event = "store-regained" if client.is_reachable else "store-lost"
         level = logging.INFO if client.is_reachable else logging.WARNING
         cause = "" if trouble is None else trouble.value
--- a/src/ebonyvalve/process/keyspace/records.py
+++ b/src/ebonyvalve/process/keyspace/records.py
@@ -1,6 +1,7 @@
 """Members and ledgers as rows of the table, and what the nodes tell each other of them."""
 
 import dataclasses
+import functools
 import logging
 
 import msgspec
@@ -53,12 +54,19 @@
     :param steward: the state.
     """
     while True:
+        read: table.Rows | table.Trouble | None
         if not steward.node.is_mesh_known:
             read = await steward.store.read(MESH)
             is_whole = True
         else:
-            read = await steward.store.follow(MESH, steward.mesh_version, FOLLOW_S)
+            version = steward.mesh_version
+            read = await node_module.interrupt(
+                steward.node,
+                functools.partial(steward.store.follow, MESH, version, FOLLOW_S),
+            )
             is_whole = False
+            if read is None:
+                continue
         if isinstance(read, table.Rows):
             take_rows(steward, read, is_whole=is_whole)
             await node_module.pause(steward.node, SETTLE_S)
--- a/src/ebonyvalve/process/node.py
+++ b/src/ebonyvalve/process/node.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import logging
+import typing
 
 import trio
 
@@ -13,6 +14,8 @@
 
 log = logging.getLogger(__name__)
 
+Found = typing.TypeVar("Found")
+
 
 @dataclasses.dataclass(kw_only=True)
 class Target:
@@ -84,6 +87,11 @@
     closed_at: float = float("-inf")
     was_open: bool = False
     changed: trio.Event = dataclasses.field(default_factory=trio.Event)
+    # The newest row of the operator that was applied, and the newest that others have named.
+    operator_version: int = 0
+    named_version: int = 0
+    # Set when the store may have news for which a follow has been waiting in vain.
+    recheck: trio.Event = dataclasses.field(default_factory=trio.Event)
 
 
 def pulse(node: Node) -> None:
@@ -99,6 +107,49 @@
     node.changed = trio.Event()
 
 
+def look_again(node: Node) -> None:
+    """End the follows of the store that are under way, and begin them anew.
+
+    A connection on which the store has lost an answer stays silent after its return.
+
+    :param node: the node.
+    """
+    node.recheck.set()
+    node.recheck = trio.Event()
+
+
+def note_named(node: Node, version: int) -> None:
+    """Note the newest row of the operator that another node has applied.
+
+    :param node: the node.
+    :param version: its version in the store.
+    """
+    if version > max(node.operator_version, node.named_version):
+        node.named_version = version
+        look_again(node)
+
+
+async def interrupt(
+    node: Node, call: collections.abc.Callable[[], collections.abc.Awaitable[Found]]
+) -> Found | None:
+    """Return the result of a call, or ``None`` if there is reason to make it anew.
+
+    :param node: the node.
+    :param call: makes the call.
+    """
+    found: Found | None = None
+    async with trio.open_nursery() as nursery:
+
+        async def watch() -> None:
+            await node.recheck.wait()
+            nursery.cancel_scope.cancel()
+
+        nursery.start_soon(watch)
+        found = await call()
+        nursery.cancel_scope.cancel()
+    return found
+
+
 async def pause(node: Node, seconds: float) -> None:
     """Wait on the node's timer service.
 
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -267,6 +267,7 @@
 
     def take_head(status: int, headers: exchange.Headers) -> exchange.Headers | None:
         relay.take_load(view, headers, node.now())
+        relay.take_seen(node, headers)
         reason = wire.find_header(headers, relay.REFUSED_HEADER)
         if reason is not None:
             refused.append(relay.read_refusal(reason, headers))
@@ -276,7 +277,7 @@
     way = attempt.Way(
         pool=origin.peers,
         address=peer.address,
-        extra=relay.dress_hop(call, node.now()),
+        extra=relay.dress_hop(call, node.now()) + relay.list_seen(node),
         relay=take_head,
         p99_s=attempt.SLOW_ANSWER_S,
     )
--- a/src/ebonyvalve/request/relay.py
+++ b/src/ebonyvalve/request/relay.py
@@ -16,6 +16,8 @@
 RULES_HEADER = b"ebonyvalve-rules"
 LOAD_HEADER = b"ebonyvalve-load"
 REFUSED_HEADER = b"ebonyvalve-refused"
+# The newest row of the operator that the sender has applied.
+SEEN_HEADER = b"ebonyvalve-seen"
 OWNER_HEADER = b"ebonyvalve-owner"
 RETRY_AFTER_HEADER = b"retry-after"
 PREFIX = b"ebonyvalve-"
@@ -101,6 +103,25 @@
     choice.note_load(view, report, now)
 
 
+def list_seen(node: node_module.Node) -> exchange.Headers:
+    """Return the header that tells another node how new this node's configuration is.
+
+    :param node: the node.
+    """
+    return [(SEEN_HEADER, str(node.operator_version).encode())]
+
+
+def take_seen(node: node_module.Node, headers: exchange.Headers) -> None:
+    """Look for news in the store if another node has them.
+
+    :param node: the node.
+    :param headers: of a request or an answer of the other node.
+    """
+    value = wire.find_header(headers, SEEN_HEADER)
+    if value is not None and value.isdigit():
+        node_module.note_named(node, int(value))
+
+
 def list_load(node: node_module.Node) -> exchange.Headers:
     """Return the header that tells another node the load of this node's target.
 
@@ -109,4 +130,4 @@
     load = node_module.measure(node)
     work_ms = max(1, int(load.work_s * 1000))
     value = f"{load.busy},{load.slots},{work_ms},{load.offered:.3f}"
-    return [(LOAD_HEADER, value.encode())]
+    return [(LOAD_HEADER, value.encode()), *list_seen(node)]
