--- a/src/ebonyvalve/connection/pool.py
+++ b/src/ebonyvalve/connection/pool.py
@@ -127,13 +127,23 @@
     :param address: the other end.
     :param slot: from :func:`acquire`.
     """
-    if slot.conn is not None and wire.recycle(slot.conn):
-        liveness.note_idle(slot.life, pool.now())
-        _wake(pool)
-    else:
+    if not keep(pool, slot):
         await discard(pool, address, slot)
 
 
+def keep(pool: Pool, slot: Slot) -> bool:
+    """Make a connection idle if its exchange has ended cleanly; return whether it has.
+
+    :param pool: the pool.
+    :param slot: from :func:`acquire`.
+    """
+    if slot.conn is None or not wire.recycle(slot.conn):
+        return False
+    liveness.note_idle(slot.life, pool.now())
+    _wake(pool)
+    return True
+
+
 async def discard(pool: Pool, address: identity.Address, slot: Slot) -> None:
     """Close a connection at once.
 
@@ -228,5 +238,6 @@
 
 
 def _wake(pool: Pool) -> None:
-    pool.freed.set()
-    pool.freed = trio.Event()
+    if pool.freed.statistics().tasks_waiting:
+        pool.freed.set()
+        pool.freed = trio.Event()
--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -83,6 +83,19 @@
         wire.http.receive_data(bytes(data))
 
 
+def poll(wire: Wire) -> h11.Event | None:
+    """Return the next event if it has been received already.
+
+    :param wire: the connection.
+    """
+    try:
+        event = wire.http.next_event()
+    except h11.RemoteProtocolError:
+        # The state of the connection keeps the error for whoever receives next.
+        return None
+    return event if isinstance(event, h11.Data | h11.EndOfMessage) else None
+
+
 async def send(wire: Wire, *events: h11.Event) -> SendResult:
     """Write events in one call of the stream.
 
--- a/src/ebonyvalve/request/attempt.py
+++ b/src/ebonyvalve/request/attempt.py
@@ -88,8 +88,10 @@
                 )
         finally:
             ended.is_silent = slot.is_silent
-            with trio.CancelScope(shield=True):
-                await pool.release(way.pool, way.address, slot)
+            # Most connections are kept, which needs no waiting and so no shield.
+            if not pool.keep(way.pool, slot):
+                with trio.CancelScope(shield=True):
+                    await pool.discard(way.pool, way.address, slot)
     ended.is_late = scope.cancelled_caught
     ended.is_ended = True
 
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -1,6 +1,7 @@
 """The HTTP server for callers and for hops from other nodes."""
 
 import collections.abc
+import contextlib
 import dataclasses
 import logging
 import secrets
@@ -271,8 +272,10 @@
         incoming.is_continued = True
         if incoming.front.is_hop:
             await wire.send_continue(incoming.conn)
-    with trio.move_on_after(BODY_STALL_S):
-        received = await wire.receive(incoming.conn)
+    # Most requests have no body, or one that came with the head.
+    ready = wire.poll(incoming.conn)
+    with contextlib.nullcontext() if ready is not None else trio.move_on_after(BODY_STALL_S):
+        received = result.Success(ready) if ready is not None else await wire.receive(incoming.conn)
         if isinstance(received, result.Failure):
             return result.Failure(exchange.BodyFailure.BROKEN)
         event = received.unwrap()
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -109,20 +109,19 @@
     tried: list[identity.NodeId] = []
     ended = delivery.Ended(result=outcome.doubt(outcome.Reason.DEADLINE))
     is_gone = False
-    with trio.move_on_after(call.deadline_at_s - origin.node.now()):
-        async with trio.open_nursery() as nursery:
-
-            async def watch() -> None:
-                nonlocal is_gone
-                await caller.wait_gone()
-                # Work that can't be repeated goes on, since the caller may not ask again.
-                is_gone = True
-                nursery.cancel_scope.cancel()
-
-            if call.is_whole:
-                nursery.start_soon(watch)
-            ended = await _try_all(origin, call, kept.caller, tried)
+    async with trio.open_nursery() as nursery:
+        nursery.cancel_scope.deadline = _find_deadline(origin.node, call)
+
+        async def watch() -> None:
+            nonlocal is_gone
+            await caller.wait_gone()
+            is_gone = True
             nursery.cancel_scope.cancel()
+
+        if call.is_whole:
+            nursery.start_soon(watch)
+        ended = await _try_all(origin, call, kept.caller, tried)
+        nursery.cancel_scope.cancel()
     told = kept.is_begun[0] or ended.is_told
     result = ended.result
     if is_gone:
@@ -135,6 +134,11 @@
     return result
 
 
+def _find_deadline(node: node_module.Node, call: exchange.Call) -> float:
+    """Return the request's deadline on trio's clock, which need not be the node's."""
+    return trio.current_time() + max(0.0, call.deadline_at_s - node.now())
+
+
 async def _try_all(
     origin: Origin, call: exchange.Call, caller: exchange.Caller, tried: list[identity.NodeId]
 ) -> delivery.Ended:
@@ -336,19 +340,19 @@
     passing = dataclasses.replace(caller, reply=reply)
     ended = delivery.Ended(result=outcome.doubt(outcome.Reason.DEADLINE))
     is_gone = False
-    with trio.move_on_after(call.deadline_at_s - node.now()):
-        async with trio.open_nursery() as nursery:
-
-            async def watch() -> None:
-                nonlocal is_gone
-                await caller.wait_gone()
-                is_gone = True
-                nursery.cancel_scope.cancel()
-
-            if call.is_whole:
-                nursery.start_soon(watch)
-            ended = await delivery.run(origin.delivery, call, passing)
+    async with trio.open_nursery() as nursery:
+        nursery.cancel_scope.deadline = _find_deadline(node, call)
+
+        async def watch() -> None:
+            nonlocal is_gone
+            await caller.wait_gone()
+            is_gone = True
             nursery.cancel_scope.cancel()
+
+        if call.is_whole:
+            nursery.start_soon(watch)
+        ended = await delivery.run(origin.delivery, call, passing)
+        nursery.cancel_scope.cancel()
     if not is_gone and not ended.is_told and ended.result.verdict is not outcome.Verdict.ANSWERED:
         why = f"{ended.result.verdict.value}:{ended.result.reason.value}"
         extra = [(relay.REFUSED_HEADER, why.encode()), *relay.list_load(node)]
