Skip sealed answers that name no request, and forget what a broken attempt left

Ids were ruled out as the cause by a test: an answer that names another request is skipped. Found on the way: a repeat after a broken answer began with the head and the bytes of the broken one.

--- a/src/ebonyvalve/platform/dialect.py
+++ b/src/ebonyvalve/platform/dialect.py
@@ -65,11 +65,16 @@
 def is_foreign(headers: exchange.Headers, request_id: str) -> bool:
     """Return whether an answer belongs to another request.
 
+    Targets name the request in what they answer. A sealed answer that names none can't be told
+    from a second answer to an earlier request.
+
     :param headers: its headers.
     :param request_id: the request that was sent.
     """
     found = wire.find_header(headers, REQUEST_ID)
-    return found is not None and found != request_id.encode()
+    if found is None:
+        return wire.find_header(headers, SEAL) is not None
+    return found != request_id.encode()
 
 
 def build_parse(
--- a/src/ebonyvalve/request/held.py
+++ b/src/ebonyvalve/request/held.py
@@ -35,7 +35,10 @@
         return not body or await caller.write(body)
 
     async def reply(status: int, headers: exchange.Headers) -> bool:
-        head.append((status, headers))
+        # What came of an earlier attempt that broke off is of no use.
+        head[:] = [(status, headers)]
+        parts.clear()
+        size[0] = 0
         return True
 
     async def write(data: bytes) -> bool:
