--- a/src/ebonyvalve/platform/settings.py
+++ b/src/ebonyvalve/platform/settings.py
@@ -62,8 +62,6 @@
         most_hold_s=bounds.get("max_hold_s", 10.0),
         drain_s=bounds.get("drain_s", 2.0),
         grace_s=bounds.get("grace_s", 6.0),
-        cold_excess=bounds.get("cold_excess", 1.5),
-        cold_slack=bounds.get("cold_slack", 5.0),
         retries=place.RetryAllowance(
             ratio=bounds.get("retry_ratio", 0.2),
             window_s=bounds.get("retry_window_s", 10.0),
--- a/src/ebonyvalve/process/place.py
+++ b/src/ebonyvalve/process/place.py
@@ -35,6 +35,4 @@
     most_hold_s: float
     drain_s: float
     grace_s: float
-    cold_excess: float
-    cold_slack: float
     retries: RetryAllowance
--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -21,8 +21,8 @@
 GRANT_RETRY_S = 0.2
 # A process that has stopped is started again within about a second.
 RESTART_S = 1.0
-# A leaving target may get new work for 2 s; this leaves room for what is on its way.
-HANDOVER_S = 1.6
+# A leaving target may get new work for a while; this leaves room for what is on its way.
+HANDOVER_MARGIN_S = 0.4
 # A process that has ended refuses connections at once and for as long as it takes to start.
 CONFIRM_S = 0.1
 # Cold targets have room again, and waiting requests become late, as time passes.
@@ -139,7 +139,8 @@
         return Ended(result=outcome.refuse(outcome.Reason.STOPPING), retry_after_s=RESTART_S)
     if not node_module.is_open(node):
         # Keys stay with a leaving target until they have been handed over.
-        is_handing_over = rules.slot is not None and node.now() < node.closed_at + HANDOVER_S
+        until = node.closed_at + node.place.drain_s - HANDOVER_MARGIN_S
+        is_handing_over = rules.slot is not None and node.now() < until
         if not is_handing_over:
             return Ended(result=outcome.refuse(outcome.Reason.DRAINED), retry_after_s=GRANT_RETRY_S)
     if rules.slot is None:
--- /dev/null
+++ b/tests/platform/test_dialect.py
@@ -0,0 +1,33 @@
+"""What the answers of targets mean."""
+
+import pytest
+
+from ebonyvalve.platform import dialect
+from ebonyvalve.request import delivery
+
+SEALED = [(b"x-attempt-id", b"r1"), (b"x-response-seal", b"s")]
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "expected"),
+    [
+        (200, SEALED, delivery.Judgement.ANSWER),
+        (500, SEALED, delivery.Judgement.ANSWER),
+        (404, [], delivery.Judgement.ANSWER),
+        # A success without the target's seal is not the target's.
+        (200, [(b"x-attempt-id", b"r1")], delivery.Judgement.SPOILED),
+        # Nobody asks for an encoding, so that such a body is not the target's.
+        (200, [*SEALED, (b"content-encoding", b"gzip")], delivery.Judgement.SPOILED),
+        (503, [(b"x-not-executed", b"1")], delivery.Judgement.NOT_RUN),
+        (429, [(b"x-not-executed", b"1")], delivery.Judgement.NOT_RUN),
+        # Another target has the address now.
+        (421, [(b"x-instance-id", b"i-9")], delivery.Judgement.MISPLACED),
+        # A refusal that does not say that nothing was run promises nothing.
+        (503, [], delivery.Judgement.ANSWER),
+    ],
+)
+def test_judgements(
+    status: int, headers: list[tuple[bytes, bytes]], expected: delivery.Judgement
+) -> None:
+    """Only an answer that says so counts as not run."""
+    assert dialect.judge(status, headers) is expected
--- a/tests/process/keyspace/test_steward.py
+++ b/tests/process/keyspace/test_steward.py
@@ -72,8 +72,6 @@
         most_hold_s=MOST_HOLD_S,
         drain_s=2.0,
         grace_s=6.0,
-        cold_excess=1.5,
-        cold_slack=5.0,
         retries=place.RetryAllowance(),
     )
 
--- a/tests/request/test_origin.py
+++ b/tests/request/test_origin.py
@@ -33,8 +33,6 @@
         most_hold_s=10.0,
         drain_s=2.0,
         grace_s=6.0,
-        cold_excess=1.5,
-        cold_slack=5.0,
         retries=place.RetryAllowance(),
     )
     wakeups = timer.Timer(clock=trio.current_time)
