Look at the rates of keys only at a busy target, and twice a second at most

Each change of a node's state sorted the rates of thousands of keys once for each range that its target held.

--- a/src/ebonyvalve/process/keyspace/records.py
+++ b/src/ebonyvalve/process/keyspace/records.py
@@ -42,6 +42,7 @@
     leases_read_at: float = float("-inf")
     first_seen_at: float | None = None
     relieved_at: float = float("-inf")
+    rated_at: float = float("-inf")
     # When targets last got keys from others, in seconds on the node's clock.
     received_at: dict[identity.Lifetime, float] = dataclasses.field(default_factory=dict)
     # Whether a ledger was written that the service's other nodes have not been told of.
--- a/src/ebonyvalve/process/keyspace/relief.py
+++ b/src/ebonyvalve/process/keyspace/relief.py
@@ -1,5 +1,6 @@
 """Moves busy keys from a target that is asked for more than it can do to those with room."""
 
+import bisect
 import collections.abc
 import dataclasses
 
@@ -60,7 +61,8 @@
     loads = {load.candidate.lifetime: load for load in others}
     offered = {name: load.offered for name, load in loads.items()}
     left = own.offered
-    pieces = [_list_rates(span, rates) for span in spans]
+    busy = sorted(rates.items())
+    pieces = [_list_rates(span, busy) for span in spans]
     moves: list[Move] = []
     while offered and len(moves) < MOST_MOVES:
         if left < BUSY or left < UNEVEN * mean:
@@ -92,9 +94,14 @@
     busy: list[tuple[int, float]]
 
 
-def _list_rates(span: ledger.Span, rates: collections.abc.Mapping[int, float]) -> _Piece:
-    busy = sorted((slot, rate) for slot, rate in rates.items() if span.first <= slot <= span.last)
-    return _Piece(first=span.first, last=span.last, busy=busy)
+def _list_rates(span: ledger.Span, busy: list[tuple[int, float]]) -> _Piece:
+    start = bisect.bisect_left(busy, span.first, key=_read_slot)
+    end = bisect.bisect_right(busy, span.last, key=_read_slot)
+    return _Piece(first=span.first, last=span.last, busy=busy[start:end])
+
+
+def _read_slot(entry: tuple[int, float]) -> int:
+    return entry[0]
 
 
 def _cut(pieces: list[_Piece], wanted: float) -> tuple[int, int, float] | None:
--- a/src/ebonyvalve/process/keyspace/steward.py
+++ b/src/ebonyvalve/process/keyspace/steward.py
@@ -19,6 +19,8 @@
 # Lets the rates and loads after a move settle before the next one, at either end. Several busy
 # targets would else all relieve themselves at the expense of the same idle one.
 RELIEF_PAUSE_S = 1.0
+# The rates of single keys are looked at this often at most.
+RATE_LOOK_S = 0.5
 # After this long without an answer, the load in the other node's lease row is newer.
 LOAD_AGE_S = 1.5
 # A target that is about to get keys is answered when they are free, but within the second after
@@ -142,6 +144,10 @@
     now = node.now()
     if situation.is_leaving or now < steward.relieved_at + RELIEF_PAUSE_S:
         return book
+    # Sorting the rates of thousands of keys is work that a calm target need not do.
+    if now < steward.rated_at + RATE_LOOK_S or node_module.measure(node).offered < relief.BUSY:
+        return book
+    steward.rated_at = now
     own = next((one for one in situation.candidates if one.node == node.place.node), None)
     if own is None:
         return book
@@ -151,7 +157,7 @@
     if own.lifetime in settling:
         return book
     held = ledger.list_held(book, own.lifetime)
-    heat.forget(node.heat, lambda slot: any(span.first <= slot <= span.last for span in held))
+    heat.keep(node.heat, [(span.first, span.last) for span in held])
     loads = {one.node: _estimate(steward, one) for one in situation.candidates}
     others = [
         load
--- a/src/ebonyvalve/process/load/choice.py
+++ b/src/ebonyvalve/process/load/choice.py
@@ -13,7 +13,7 @@
 MOST_AVOID_S = 1.2
 # A queue that is full holds several times as much work as this, so that nothing idles while
 # further requests are refused without asking.
-FULL_PAUSE_S = 0.04
+FULL_PAUSE_S = 0.1
 # Old loads say little: work that was reported is over after about this many work times.
 STALE_WORKS = 4.0
 # What another zone must save in waiting, as bytes between zones cost and take longer.
--- a/src/ebonyvalve/process/load/heat.py
+++ b/src/ebonyvalve/process/load/heat.py
@@ -1,5 +1,6 @@
 """How often each key is asked for: decayed counts of the keys of one target."""
 
+import bisect
 import collections.abc
 import dataclasses
 import math
@@ -58,14 +59,20 @@
     return heat.total / (heat.scale * MEMORY_S)
 
 
-def forget(heat: Heat, is_held: collections.abc.Callable[[int], bool]) -> None:
+def keep(heat: Heat, held: collections.abc.Sequence[tuple[int, int]]) -> None:
     """Drop the keys that the target no longer holds.
 
     :param heat: the state.
-    :param is_held: whether the target holds a key.
+    :param held: first and last key of what it holds, in ascending order.
     """
-    heat.counts = {slot: count for slot, count in heat.counts.items() if is_held(slot)}
-    heat.total = sum(heat.counts.values())
+    firsts = [first for first, _ in held]
+    kept = {}
+    for slot, count in heat.counts.items():
+        index = bisect.bisect_right(firsts, slot) - 1
+        if index >= 0 and slot <= held[index][1]:
+            kept[slot] = count
+    heat.counts = kept
+    heat.total = sum(kept.values())
 
 
 def _decay(heat: Heat, now: float) -> None:
