Call one piece for a watched request, a page of rows and missing leases, and drop dead code

The nursery that watches the caller stood in the origin and at the hop; a page of rows was decoded twice; the nodes without a lease were filtered in two places; two constants had no user; resolve returned what its caller had already. No change of behaviour.

--- a/src/ebonyvalve/platform/store.py
+++ b/src/ebonyvalve/platform/store.py
@@ -115,8 +115,8 @@
         if isinstance(page, table.Trouble):
             return page
         rows.extend(page.rows)
-        if not _has_more(answer) or not page.rows:
-            return dataclasses.replace(page, rows=tuple(rows))
+        if not page.has_more or not page.rows:
+            return dataclasses.replace(page, rows=tuple(rows), has_more=False)
         # The smallest key above the last one.
         start = page.rows[-1].name.key + "\0"
 
@@ -153,10 +153,6 @@
     return {"table": name.table, "part": name.part, "key": name.key}
 
 
-def _has_more(answer: Answer) -> bool:
-    return msgspec.json.decode(answer.body, type=WireRows).has_more
-
-
 def _decode_rows(answer: Answer) -> table.Rows | table.Trouble:
     if answer.status == GONE:
         return table.Trouble.HISTORY_GONE
@@ -171,7 +167,7 @@
         clock = lease.StoreClock(
             asked_at=answer.asked_at, answered_at=answer.answered_at, read_s=wire.now_s
         )
-    return table.Rows(rows=rows, version=wire.ver, clock=clock)
+    return table.Rows(rows=rows, version=wire.ver, clock=clock, has_more=wire.has_more)
 
 
 def _decode_row(row: WireRow) -> table.Row:
--- a/src/ebonyvalve/process/keyspace/ledger.py
+++ b/src/ebonyvalve/process/keyspace/ledger.py
@@ -13,7 +13,6 @@
 from ebonyvalve.process import identity
 
 NOBODY = identity.Lifetime("")
-FIRST_FENCE = identity.Fence(1)
 
 
 class Span(msgspec.Struct, kw_only=True, frozen=True, array_like=True):
--- a/src/ebonyvalve/process/keyspace/steward.py
+++ b/src/ebonyvalve/process/keyspace/steward.py
@@ -249,16 +249,6 @@
         if one.node in alive
     )
     book = node.books.get(node.place.service)
-    # A node without a lease row was taken from, or has left: its keys are free as well.
-    missing = (
-        frozenset(
-            identity.NodeId(span.node)
-            for span in book.ledger.spans
-            if span.node and span.node != node.place.node and span.node not in node.leases
-        )
-        if book is not None and steward.leases_read_at > float("-inf")
-        else frozenset()
-    )
     leaders = sorted(one.node for one in candidates)
     hold_s = tenure.find_hold(node.place.heartbeat_s)
     is_silent = (
@@ -277,23 +267,27 @@
         present=present,
         candidates=candidates,
         released=(grant.find_released(node.grantor, book.ledger, now) if book is not None else {}),
-        over=over if not missing else over | _confirm_missing(steward, missing),
+        over=over | _find_missing(steward),
         is_leaving=target is not None and not node_module.is_open(node),
         is_leader=not leaders or leaders[0] == node.place.node,
         is_lost=is_lost,
     )
 
 
-def _confirm_missing(
-    steward: records.Steward, missing: frozenset[identity.NodeId]
-) -> frozenset[identity.NodeId]:
-    """Return the nodes without a lease that may be taken from.
+def _find_missing(steward: records.Steward) -> frozenset[identity.NodeId]:
+    """Return the holders without a lease that may be taken from.
 
     One without a row has no right to grant, but the row may be newer than the leases that were
     read. So members that have announced themselves are left alone, and the write that takes the
     keys of another requires that there is still no row.
     """
-    return frozenset(name for name in missing if name not in steward.node.members)
+    node = steward.node
+    book = node.books.get(node.place.service)
+    if book is None or steward.leases_read_at == float("-inf"):
+        return frozenset()
+    known = {node.place.node, *node.leases, *node.members}
+    holders = {identity.NodeId(span.node) for span in book.ledger.spans if span.node}
+    return frozenset(holders - known)
 
 
 def _has_gathered(steward: records.Steward, situation: plan.Situation) -> bool:
--- a/src/ebonyvalve/process/store/table.py
+++ b/src/ebonyvalve/process/store/table.py
@@ -8,7 +8,6 @@
 from ebonyvalve.process.keyspace import lease
 
 TableName = typing.NewType("TableName", str)
-ANY_VERSION = -1
 MISSING = 0
 
 
@@ -44,11 +43,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Rows:
-    """Rows as of one moment, with the newest version and a reading of the store's clock."""
+    """Rows as of one moment, with the newest version and a reading of the store's clock.
+
+    ``has_more`` says that they are one page of several.
+    """
 
     rows: tuple[Row, ...]
     version: int
     clock: lease.StoreClock | None
+    has_more: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import functools
 import logging
 
 import trio
@@ -54,10 +55,8 @@
     slot: int | None
 
 
-def resolve(
-    origin: Origin, call: exchange.Call, head: Head
-) -> tuple[traffic.Route, exchange.Call] | outcome.Outcome:
-    """Return the request with its route's service, rules and deadline, or why it is refused.
+def resolve(origin: Origin, call: exchange.Call, head: Head) -> outcome.Outcome | None:
+    """Give a request its route's service, rules and deadline; return why it is refused, if it is.
 
     :param origin: the state.
     :param call: the request, as read.
@@ -85,7 +84,7 @@
         origin=node.place.service,
         slot=head.slot if policy.is_keyed else None,
     )
-    return route, call
+    return None
 
 
 async def handle(
@@ -99,18 +98,42 @@
     :param head: what its head says.
     """
     started_at = origin.node.now()
-    resolved = resolve(origin, call, head)
-    if isinstance(resolved, outcome.Outcome):
-        await refuse(caller, resolved, RETRY_AFTER_S)
-        _record(origin, call, resolved, started_at, [])
-        return resolved
+    refusal = resolve(origin, call, head)
+    if refusal is not None:
+        await refuse(caller, refusal, RETRY_AFTER_S)
+        _record(origin, call, refusal, started_at, [])
+        return refusal
     budget.earn(origin.node.budget)
     kept = held.hold_back(caller)
     tried: list[identity.NodeId] = []
+    ended, is_gone = await _run_watched(
+        origin.node, call, caller, functools.partial(_try_all, origin, call, kept.caller, tried)
+    )
+    told = kept.is_begun[0] or ended.is_told
+    result = ended.result
+    if is_gone:
+        result = outcome.doubt(outcome.Reason.CALLER_GONE)
+    elif not told:
+        # Callers that were refused together must not come back together.
+        spread = 1.0 + RETRY_SPREAD * (origin.node.draw() - 0.5)
+        await refuse(caller, result, ended.retry_after_s * spread)
+    _record(origin, call, result, started_at, tried)
+    return result
+
+
+async def _run_watched(
+    node: node_module.Node,
+    call: exchange.Call,
+    caller: exchange.Caller,
+    work: collections.abc.Callable[[], collections.abc.Awaitable[delivery.Ended]],
+) -> tuple[delivery.Ended, bool]:
+    """Run until the deadline or until the caller leaves; return the end and whether it has left."""
     ended = delivery.Ended(result=outcome.doubt(outcome.Reason.DEADLINE))
     is_gone = False
     async with trio.open_nursery() as nursery:
-        nursery.cancel_scope.deadline = _find_deadline(origin.node, call)
+        # Trio's clock need not be the node's.
+        left_s = max(0.0, call.deadline_at_s - node.now())
+        nursery.cancel_scope.deadline = trio.current_time() + left_s
 
         async def watch() -> None:
             nonlocal is_gone
@@ -120,23 +143,9 @@
 
         if call.is_whole:
             nursery.start_soon(watch)
-        ended = await _try_all(origin, call, kept.caller, tried)
+        ended = await work()
         nursery.cancel_scope.cancel()
-    told = kept.is_begun[0] or ended.is_told
-    result = ended.result
-    if is_gone:
-        result = outcome.doubt(outcome.Reason.CALLER_GONE)
-    elif not told:
-        # Callers that were refused together must not come back together.
-        spread = 1.0 + RETRY_SPREAD * (origin.node.draw() - 0.5)
-        await refuse(caller, result, ended.retry_after_s * spread)
-    _record(origin, call, result, started_at, tried)
-    return result
-
-
-def _find_deadline(node: node_module.Node, call: exchange.Call) -> float:
-    """Return the request's deadline on trio's clock, which need not be the node's."""
-    return trio.current_time() + max(0.0, call.deadline_at_s - node.now())
+    return ended, is_gone
 
 
 async def _try_all(
@@ -338,21 +347,9 @@
         return await caller.reply(status, headers + relay.list_load(node))
 
     passing = dataclasses.replace(caller, reply=reply)
-    ended = delivery.Ended(result=outcome.doubt(outcome.Reason.DEADLINE))
-    is_gone = False
-    async with trio.open_nursery() as nursery:
-        nursery.cancel_scope.deadline = _find_deadline(node, call)
-
-        async def watch() -> None:
-            nonlocal is_gone
-            await caller.wait_gone()
-            is_gone = True
-            nursery.cancel_scope.cancel()
-
-        if call.is_whole:
-            nursery.start_soon(watch)
-        ended = await delivery.run(origin.delivery, call, passing)
-        nursery.cancel_scope.cancel()
+    ended, is_gone = await _run_watched(
+        node, call, caller, functools.partial(delivery.run, origin.delivery, call, passing)
+    )
     if not is_gone and not ended.is_told and ended.result.verdict is not outcome.Verdict.ANSWERED:
         why = f"{ended.result.verdict.value}:{ended.result.reason.value}"
         extra = [(relay.REFUSED_HEADER, why.encode()), *relay.list_load(node)]
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -8,6 +8,12 @@
 from tests.platform import mesh as mesh_module
 
 
+async def fetch_ready(mesh: mesh_module.Mesh, path: str) -> http.Reply:
+    """Ask the first node's ready address."""
+    request = http.Request(method="GET", path=path)
+    return (await http.fetch(network.connect_tcp, mesh.ready[0], request, timeout_s=5.0)).unwrap()
+
+
 async def test_requests_reach_the_owner_of_their_key() -> None:
     """Each key runs at the one target that holds it, whatever node it comes to."""
     async with mesh_module.open_mesh(["lookup", "lookup", "orders"]) as mesh:
@@ -80,13 +86,8 @@
     async with mesh_module.open_mesh(["orders"]) as mesh:
         client = await mesh_module.open_client(mesh.outbound[0])
         await mesh_module.wait_status(client, 200, "/orders/warm")
-        reply = await http.fetch(
-            network.connect_tcp,
-            mesh.ready[0],
-            http.Request(method="GET", path="/readyz"),
-            timeout_s=5.0,
-        )
-        assert reply.unwrap().status == 200
+        reply = await fetch_ready(mesh, "/readyz")
+        assert reply.status == 200
 
 
 async def test_metrics_are_served() -> None:
@@ -94,13 +95,8 @@
     async with mesh_module.open_mesh(["orders"]) as mesh:
         client = await mesh_module.open_client(mesh.outbound[0])
         await mesh_module.wait_status(client, 200, "/orders/warm")
-        reply = await http.fetch(
-            network.connect_tcp,
-            mesh.ready[0],
-            http.Request(method="GET", path="/metrics"),
-            timeout_s=5.0,
-        )
-        text = reply.unwrap().body.decode()
+        reply = await fetch_ready(mesh, "/metrics")
+        text = reply.body.decode()
         assert 'outcome="answered",reason="none",service="orders"' in text
         assert "ebonyvalve_members 1.0" in text
 
