Renew leases never to an earlier end, and give silent targets no keys

The node went on granting by the longer lease while another took its keys by the shorter one. Renewals now never end earlier, and the narrowest reading of the clock is kept. Found on the way: a node whose target sends no reports took the keys from it and gave them back, 200 times a second, since its member row still said ready. Such a target announces itself as silent and gets no keys. Histories now fix the order in which trio runs tasks, so a seed is one history.

--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -116,7 +116,7 @@
         now=now,
         draw=random.random,
         gate=gate.Gate(slots=1, cold_rate=0.0),
-        grantor=grant.start(now=now(), most_hold_s=tenure.find_hold(place.heartbeat_s)),
+        grantor=grant.start(now=now(), most_hold_s=grant.choose_hold(place.heartbeat_s)),
         budget=budget.Budget(share=place.retries.ratio / 2),
         heat=heat.Heat(at=now()),
     )
--- a/src/ebonyvalve/process/keyspace/grant.py
+++ b/src/ebonyvalve/process/keyspace/grant.py
@@ -48,6 +48,17 @@
     granted: tuple[tuple[int, int], ...] = ()
 
 
+def choose_hold(heartbeat_s: float) -> float:
+    """Return for how many seconds a target holds its keys without a further answer.
+
+    Four lost reports in a row are rare; a target that has fallen silent blocks its keys for as
+    long as this.
+
+    :param heartbeat_s: seconds between two reports.
+    """
+    return max(4.0, 4.0 * heartbeat_s)
+
+
 def start(*, now: float, most_hold_s: float) -> Grantor:
     """Return the state of a node that has just started.
 
--- a/src/ebonyvalve/process/keyspace/lease.py
+++ b/src/ebonyvalve/process/keyspace/lease.py
@@ -59,6 +59,37 @@
     return clock.read_s + (now - clock.answered_at) * (1 - NODE_DRIFT)
 
 
+def choose_clock(known: StoreClock | None, new: StoreClock, now: float) -> StoreClock:
+    """Return the reading to go on with: the narrower one, or the new one if they contradict.
+
+    An answer that took seconds says little of the store's clock.
+
+    :param known: the reading in use.
+    :param new: a reading that has just been taken.
+    :param now: seconds on the node's clock.
+    """
+    if known is None:
+        return new
+    earliest, latest = read_earliest(known, now), read_latest(known, now)
+    new_earliest, new_latest = read_earliest(new, now), read_latest(new, now)
+    is_contradicted = new_latest < earliest or new_earliest > latest
+    return new if is_contradicted or new_latest - new_earliest < latest - earliest else known
+
+
+def renew(row: LeaseRow | None, clock: StoreClock, now: float) -> float:
+    """Return the store time until which a renewal shall last.
+
+    It is never earlier than what the row says. Otherwise a renewal whose answer was lost would
+    let others take the keys while the node still believes in the longer lease.
+
+    :param row: the lease that the node knows to be in the store.
+    :param clock: a reading of the store's clock.
+    :param now: seconds on the node's clock.
+    """
+    until_s = read_latest(clock, now) + LEASE_S
+    return until_s if row is None else max(until_s, row.until_s)
+
+
 def find_hold(row: LeaseRow | None, clock: StoreClock | None, now: float, most_s: float) -> float:
     """Return for how many seconds of its own clock a target may hold its keys; 0 for not at all.
 
--- a/src/ebonyvalve/process/keyspace/records.py
+++ b/src/ebonyvalve/process/keyspace/records.py
@@ -103,12 +103,22 @@
         _take_row(steward, row)
     steward.mesh_version = max(steward.mesh_version, read.version)
     budget.divide(node.budget, node.place.retries.slack, len(node.members))
-    if read.clock is not None:
-        node.clock = read.clock
+    take_clock(steward, read.clock)
     node.is_mesh_known = True
     node_module.pulse(node)
 
 
+def take_clock(steward: Steward, read: lease.StoreClock | None) -> None:
+    """Take in a reading of the store's clock.
+
+    :param steward: the state.
+    :param read: the reading that came with an answer, if there was one.
+    """
+    node = steward.node
+    if read is not None:
+        node.clock = lease.choose_clock(node.clock, read, node.now())
+
+
 def _take_row(steward: Steward, row: table.Row) -> None:
     node = steward.node
     key = row.name.key
--- a/src/ebonyvalve/process/keyspace/steward.py
+++ b/src/ebonyvalve/process/keyspace/steward.py
@@ -55,6 +55,7 @@
     node = steward.node
     while True:
         changed = node.changed
+        node_module.note_silence(node)
         is_able = (
             node_module.is_keyed(node) and node.is_mesh_known and steward.lease_row is not None
         )
@@ -243,17 +244,8 @@
         and lease.is_over(other.row, node.clock, now)
     )
     alive = frozenset(node.leases) - over | {node.place.node}
-    candidates = tuple(
-        ledger.Candidate(node=one.node, lifetime=one.lifetime, weight=one.slots)
-        for one in node_module.list_open_members(node, node.place.service)
-        if one.node in alive
-    )
     book = node.books.get(node.place.service)
-    leaders = sorted(one.node for one in candidates)
-    hold_s = tenure.find_hold(node.place.heartbeat_s)
-    is_silent = (
-        target is not None and now > node.grantor.ends_at and now > target.reported_at + hold_s
-    )
+    is_silent = target is not None and target.is_silent
     is_known = target is not None and not target.is_assumed
 
     def is_lost(holder: identity.Lifetime) -> bool:
@@ -262,6 +254,13 @@
             return is_known or is_silent
         return is_silent or (target is not None and target.is_dead)
 
+    # A target that has fallen silent keeps its row, but would be given back what is taken from it.
+    candidates = tuple(
+        ledger.Candidate(node=one.node, lifetime=one.lifetime, weight=one.slots)
+        for one in node_module.list_open_members(node, node.place.service)
+        if one.node in alive and not (one.node == node.place.node and is_lost(one.lifetime))
+    )
+    leaders = sorted(one.node for one in candidates)
     return plan.Situation(
         node=node.place.node,
         present=present,
--- a/src/ebonyvalve/process/keyspace/tenure.py
+++ b/src/ebonyvalve/process/keyspace/tenure.py
@@ -6,7 +6,7 @@
 
 from ebonyvalve.process import decision, identity
 from ebonyvalve.process import node as node_module
-from ebonyvalve.process.keyspace import lease, records
+from ebonyvalve.process.keyspace import grant, lease, records
 from ebonyvalve.process.store import table
 
 log = logging.getLogger(__name__)
@@ -52,7 +52,7 @@
         if node.clock is None:
             return False
     name = table.Name(table=LEASES, key=node.place.node)
-    until_s = lease.read_latest(node.clock, node.now()) + lease.LEASE_S
+    until_s = lease.renew(steward.lease_row, node.clock, node.now())
     measured = node_module.measure(node)
     row = lease.LeaseRow(
         until_s=until_s,
@@ -65,8 +65,7 @@
     )
     if isinstance(done, table.Committed):
         steward.lease_row, steward.lease_version = row, done.version
-        if done.clock is not None:
-            node.clock = done.clock
+        records.take_clock(steward, done.clock)
         return True
     if isinstance(done, table.Conflict) or done is table.Trouble.UNKNOWN:
         await _recover_lease(steward, name)
@@ -102,8 +101,7 @@
     read = await steward.store.read(LEASES)
     if not isinstance(read, table.Rows):
         return
-    if read.clock is not None:
-        node.clock = read.clock
+    records.take_clock(steward, read.clock)
     leases = {}
     for row in read.rows:
         try:
@@ -125,16 +123,5 @@
     :param steward: the state.
     """
     node = steward.node
-    most_s = min(node.place.most_hold_s, find_hold(node.place.heartbeat_s))
+    most_s = min(node.place.most_hold_s, grant.choose_hold(node.place.heartbeat_s))
     return lease.find_hold(steward.lease_row, node.clock, node.now(), most_s)
-
-
-def find_hold(heartbeat_s: float) -> float:
-    """Return for how many seconds a target holds its keys without a further answer.
-
-    Four lost reports in a row are rare; a target that has fallen silent blocks its keys for as
-    long as this.
-
-    :param heartbeat_s: seconds between two reports.
-    """
-    return max(4.0, 4.0 * heartbeat_s)
--- a/src/ebonyvalve/process/member.py
+++ b/src/ebonyvalve/process/member.py
@@ -11,6 +11,8 @@
     """Whether a target takes new work."""
 
     READY = "ready"
+    # Sends no reports, so that it can hold no keys.
+    SILENT = "silent"
     LEAVING = "leaving"
     GONE = "gone"
 
--- a/src/ebonyvalve/process/node.py
+++ b/src/ebonyvalve/process/node.py
@@ -23,6 +23,7 @@
 
     ``is_assumed`` says that the node has read of it in the table but has had no report yet.
     ``is_dead`` says that its process has ended; one that is gone may still run and hold keys.
+    ``is_silent`` says that it has sent no report for so long that all its holds have ended.
     """
 
     lifetime: identity.Lifetime
@@ -32,6 +33,7 @@
     reported_at: float
     is_assumed: bool = False
     is_dead: bool = False
+    is_silent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -258,6 +260,26 @@
     ]
 
 
+def note_silence(node: Node) -> None:
+    """Note whether the target has been without a report until its last hold ended.
+
+    :param node: the node.
+    """
+    target = node.target
+    if target is None:
+        return
+    now = node.now()
+    spoke_until = target.reported_at + grant.choose_hold(node.place.heartbeat_s)
+    is_silent = now > node.grantor.ends_at and now > spoke_until
+    if is_silent is target.is_silent:
+        return
+    node.target = dataclasses.replace(target, is_silent=is_silent)
+    decision.record(
+        log, logging.INFO, "target-silent" if is_silent else "target-heard", target=target.lifetime
+    )
+    pulse(node)
+
+
 def describe(node: Node) -> member.Member | None:
     """Return how this node announces itself, or ``None`` before its target has reported.
 
@@ -266,6 +288,8 @@
     target = node.target
     if target is None or target.is_assumed:
         return None
+    # A target that the platform has cut off still does work that needs no key.
+    is_keyless = target.is_silent and target.state is member.TargetState.READY and is_keyed(node)
     return member.Member(
         node=node.place.node,
         address=node.place.peers_address,
@@ -273,7 +297,7 @@
         service=node.place.service,
         lifetime=target.lifetime,
         slots=target.slots,
-        state=target.state,
+        state=member.TargetState.SILENT if is_keyless else target.state,
     )
 
 
--- a/tests/process/keyspace/test_lease.py
+++ b/tests/process/keyspace/test_lease.py
@@ -53,3 +53,44 @@
     assert lease.find_hold(None, clock, 1.0, 10.0) == 0.0
     row = lease.LeaseRow(until_s=62.0, incarnation="a")
     assert lease.find_hold(row, None, 1.0, 10.0) == 0.0
+
+
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+@hypothesis.given(
+    readings=st.lists(
+        st.tuples(st.floats(0, 8), st.floats(0, 1), st.floats(0.01, 5)), min_size=1, max_size=8
+    )
+)
+def test_renewals_never_end_earlier(readings: list[tuple[float, float, float]]) -> None:
+    """Slow answers make the readings of the store's clock differ; a renewal may be done unheard.
+
+    If it ended before the lease that the node knows, another would take keys that are granted.
+    """
+    now, clock, row = 0.0, None, None
+    for answer_s, share, pause_s in readings:
+        # The store's clock shows the node's time plus 1000, anywhere within the answer.
+        read = lease.StoreClock(
+            asked_at=now, answered_at=now + answer_s, read_s=1000 + now + share * answer_s
+        )
+        now += answer_s
+        clock = lease.choose_clock(clock, read, now)
+        assert lease.read_earliest(clock, now) <= 1000 + now <= lease.read_latest(clock, now)
+        until_s = lease.renew(row, clock, now)
+        assert row is None or until_s >= row.until_s
+        assert until_s >= 1000 + now + lease.LEASE_S
+        row = lease.LeaseRow(until_s=until_s, incarnation="a")
+        now += pause_s
+
+
+def test_slow_answer_does_not_blur_the_clock() -> None:
+    """An answer that took 6 s made a lease 6 s longer for all who wait for its end."""
+    sharp = lease.StoreClock(asked_at=0.0, answered_at=0.004, read_s=100.0)
+    slow = lease.StoreClock(asked_at=2.0, answered_at=8.0, read_s=108.0)
+    assert lease.choose_clock(sharp, slow, 8.0) is sharp
+
+
+def test_clock_of_another_store_is_taken() -> None:
+    """A reading that contradicts the one in use is the newer truth."""
+    known = lease.StoreClock(asked_at=0.0, answered_at=0.004, read_s=100.0)
+    other = lease.StoreClock(asked_at=5.0, answered_at=5.5, read_s=3.0)
+    assert lease.choose_clock(known, other, 5.5) is other
--- a/tests/process/keyspace/test_steward.py
+++ b/tests/process/keyspace/test_steward.py
@@ -106,7 +106,7 @@
         now=now,
         draw=rng.random,
         gate=gate.Gate(slots=1, cold_rate=0.0),
-        grantor=grant.start(now=now(), most_hold_s=tenure.find_hold(HEARTBEAT_S)),
+        grantor=grant.start(now=now(), most_hold_s=grant.choose_hold(HEARTBEAT_S)),
         budget=budget.Budget(share=0.1),
         heat=heat.Heat(at=now()),
         config=identity.ConfigVersion(1),
@@ -427,11 +427,14 @@
             world.state.faults.pop(name, None)
 
 
-@pytest.mark.parametrize("seed", range(24))
-async def test_histories_with_faults(
-    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock, seed: int
-) -> None:
-    """Two faults at a time, one after the other, and all keys are back in the end."""
+def fix_schedule(seed: int) -> None:
+    """Let trio run tasks in the same order each time; else a seed is not one history."""
+    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True  # type: ignore[attr-defined]
+    trio._core._run._r.seed(seed)  # type: ignore[attr-defined]
+
+
+async def run_history(nursery: trio.Nursery, seed: int) -> World:
+    """Inject two faults at a time, one pair after the other; all keys are back in the end."""
     rng = random.Random(seed)
     world = await build_world(nursery)
     for _ in range(3):
@@ -441,4 +444,57 @@
                 faults.start_soon(do_fault, world, rng, kind)
         await trio.sleep(rng.random() * 3)
     await wait_whole(world, 25.0)
+    return world
+
+
+def count_ledgers(world: World) -> int:
+    """Return how often the ledger was written."""
+    return sum(1 for _, (table, _, key) in world.state.log if (table, key[:5]) == ("mesh", "book/"))
+
+
+# Each fault changes the ledger a few times: taken, dealt, moved, passed on.
+MOST_LEDGERS = 60
+
+
+@pytest.mark.parametrize("seed", range(24))
+async def test_histories_with_faults(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock, seed: int
+) -> None:
+    """No key has two owners, and no node writes the ledger over and over."""
+    fix_schedule(seed)
+    world = await run_history(nursery, seed)
+    assert world.violations == [], (seed, world.violations[:3])
+    assert count_ledgers(world) < MOST_LEDGERS
+
+
+@pytest.mark.parametrize(
+    ("seed", "schedule"),
+    [
+        # A renewal with an earlier end was done, its answer lost, and the lease taken over while
+        # the node still trusted the longer one.
+        (18, 0),
+        (18, 34),
+    ],
+)
+async def test_histories_that_failed(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock, seed: int, schedule: int
+) -> None:
+    """Histories that once gave a key two owners, in the order of tasks that showed it."""
+    fix_schedule(schedule)
+    world = await run_history(nursery, seed)
     assert world.violations == [], (seed, world.violations[:3])
+    assert count_ledgers(world) < MOST_LEDGERS
+
+
+async def test_silent_target_gets_no_keys_back(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """A node whose target sends no reports gave its keys to it again, 200 times a second."""
+    world = await build_world(nursery)
+    before = count_ledgers(world)
+    machine = world.machines[1]
+    machine.is_frozen = True
+    await trio.sleep(8.0)
+    assert count_ledgers(world) - before <= 3
+    assert world.violations == []
+    await wait_whole(world, 1.0)
