Compare changed settings with those in use, not with those read last

Cause: a file that changed between the start and the follower's first look was taken for the known one.

--- a/src/ebonyvalve/platform/reload.py
+++ b/src/ebonyvalve/platform/reload.py
@@ -49,7 +49,7 @@
         except OSError as exc:
             decision.record(log, logging.ERROR, "settings-unreadable", cause=str(exc))
         else:
-            if known is not None and body != known:
+            if body != known:
                 await apply(node, client, body)
             known = body
         with trio.move_on_after(LOOK_S):
@@ -69,6 +69,8 @@
         decision.record(log, logging.ERROR, "settings-refused", cause=str(exc))
         return
     old = node.place
+    if new == old:
+        return
     waiting = [name for name in FIXED if getattr(new, name) != getattr(old, name)]
     if waiting:
         decision.record(log, logging.WARNING, "settings-wait-for-restart", fields=",".join(waiting))
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -10,7 +10,10 @@
 import time
 
 import pytest
+import trio
 
+from ebonyvalve.platform import daemon, reload, settings
+from ebonyvalve.process import signals
 from tests.platform import mesh
 
 START_S = 10.0
@@ -98,3 +101,12 @@
     with open_daemon(tmp_path, build_settings(ports, store=9)):
         (tmp_path / "local.toml").write_bytes(build_settings(ports, store=11))
         wait_logged(tmp_path, "event=settings-applied")
+
+
+async def test_settings_that_changed_during_the_start(ports: list[int]) -> None:
+    """Seen once beside load: the file changed between the first and the second look at it."""
+    built = daemon.build(settings.decode(build_settings(ports, store=9)))
+    body = build_settings(ports, store=11)
+    with trio.move_on_after(0.1):
+        await reload.follow(built.node, built.client, signals.Signals(), lambda: body)
+    assert built.client.address == "127.0.0.1:11"
