--- a/src/ebonyvalve/connection/pool.py
+++ b/src/ebonyvalve/connection/pool.py
@@ -83,8 +83,10 @@
         if picked.use is liveness.Use.REUSE and picked.connection is not None:
             slot = slots[picked.connection]
             idle_s = pool.now() - slot.life.progress_at
-            if max_idle_s is None or idle_s <= max_idle_s:
-                slot.life.phase = liveness.Phase.HELD_BY_CALLER
+            # Held before anything is awaited, so that no other request takes it.
+            slot.life.phase = liveness.Phase.HELD_BY_CALLER
+            is_fresh = max_idle_s is None or idle_s <= max_idle_s
+            if is_fresh and not (slot.conn is not None and await wire.find_closed(slot.conn)):
                 slot.scope = trio.CancelScope()
                 return result.Success(slot)
             await discard(pool, address, slot)
--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -96,6 +96,24 @@
     return event if isinstance(event, h11.Data | h11.EndOfMessage) else None
 
 
+async def find_closed(wire: Wire) -> bool:
+    """Return whether the peer has closed an idle connection, without waiting.
+
+    Bytes that the peer has sent meanwhile are kept for the next exchange.
+
+    :param wire: a connection on which nothing is asked for.
+    """
+    stream = wire.stream
+    if not isinstance(stream, trio.SocketStream) or not stream.socket.is_readable():
+        return False
+    try:
+        data = await stream.receive_some(READ_BYTES)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        return True
+    wire.http.receive_data(bytes(data))
+    return not data
+
+
 async def send(wire: Wire, *events: h11.Event) -> SendResult:
     """Write events in one call of the stream.
 
--- a/tests/connection/test_channel_faults.py
+++ b/tests/connection/test_channel_faults.py
@@ -88,13 +88,17 @@
         relay.connections += 1
         relay.open += 1
         host, port = relay.target.split(":")
-        with trio.CancelScope() as scope, contextlib.suppress(trio.BrokenResourceError):
+        with trio.CancelScope() as scope:
             relay.closers.append(scope)
-            far = await trio.open_tcp_stream(host, int(port))
-            async with near, far, trio.open_nursery() as nursery:
-                nursery.start_soon(pump, number, far, near)
-                await pump(number, near, far)
-                nursery.cancel_scope.cancel()
+            # The pumps' errors come as a group, which contextlib.suppress leaves alone.
+            try:
+                far = await trio.open_tcp_stream(host, int(port))
+                async with near, far, trio.open_nursery() as nursery:
+                    nursery.start_soon(pump, number, far, near)
+                    await pump(number, near, far)
+                    nursery.cancel_scope.cancel()
+            except* trio.BrokenResourceError:
+                pass
         relay.open -= 1
 
     async with trio.open_nursery() as nursery:
--- /dev/null
+++ b/tests/connection/test_pool_closed.py
@@ -0,0 +1,69 @@
+"""Connections that the other end has closed while they were idle."""
+
+import trio
+
+from ebonyvalve.connection import liveness, pool
+from ebonyvalve.process import identity, network
+
+
+async def open_server(nursery: trio.Nursery) -> tuple[identity.Address, list[trio.SocketStream]]:
+    """Return the address of a server on loopback and the connections that it has accepted."""
+    accepted: list[trio.SocketStream] = []
+
+    async def serve(stream: trio.SocketStream) -> None:
+        accepted.append(stream)
+        await trio.sleep_forever()
+
+    listeners = await nursery.start(trio.serve_tcp, serve, 0)
+    port = listeners[0].socket.getsockname()[1]
+    return identity.Address(f"127.0.0.1:{port}"), accepted
+
+
+async def wait_accepted(accepted: list[trio.SocketStream]) -> None:
+    for _ in range(500):
+        if accepted:
+            return
+        await trio.sleep(0.01)
+
+
+async def idle_connection(state: pool.Pool, address: identity.Address) -> pool.Slot:
+    slot = (await pool.acquire(state, address, p99_s=None)).unwrap()
+    liveness.note_idle(slot.life, state.now())
+    return slot
+
+
+async def test_closed_connection_is_not_used_again(nursery: trio.Nursery) -> None:
+    """A rolling stop of the Darkroom: 141 tries ended with 502 although nothing could have run.
+
+    A node that has stopped resets what is sent on a kept connection, and after a byte was sent
+    nobody can say that the request has not run.
+    """
+    address, accepted = await open_server(nursery)
+    state = pool.Pool(connect=network.connect_tcp, now=trio.current_time)
+    first = await idle_connection(state, address)
+    await wait_accepted(accepted)
+    await accepted[0].aclose()
+    await trio.sleep(0.05)
+    second = (await pool.acquire(state, address, p99_s=None)).unwrap()
+    assert second.name != first.name
+
+
+async def test_open_connection_is_used_again(nursery: trio.Nursery) -> None:
+    """New connections are priced, and take a round trip."""
+    address, _ = await open_server(nursery)
+    state = pool.Pool(connect=network.connect_tcp, now=trio.current_time)
+    first = await idle_connection(state, address)
+    second = (await pool.acquire(state, address, p99_s=None)).unwrap()
+    assert second.name == first.name
+
+
+async def test_late_bytes_do_not_close_a_connection(nursery: trio.Nursery) -> None:
+    """Targets may send a second answer; it is recognised by its id when the next one is read."""
+    address, accepted = await open_server(nursery)
+    state = pool.Pool(connect=network.connect_tcp, now=trio.current_time)
+    first = await idle_connection(state, address)
+    await wait_accepted(accepted)
+    await accepted[0].send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+    await trio.sleep(0.05)
+    second = (await pool.acquire(state, address, p99_s=None)).unwrap()
+    assert second.name == first.name
