Queue requests at the gate by when they are due, and foresee overtaking

Checks take 40 ms and are due in 150, bookings take 210 and are due in 600, and the gate queued both in order of arrival with one mean work time.

--- a/src/ebonyvalve/process/load/gate.py
+++ b/src/ebonyvalve/process/load/gate.py
@@ -9,6 +9,7 @@
 import dataclasses
 import enum
 import heapq
+import math
 import typing
 
 Ticket = typing.NewType("Ticket", int)
@@ -18,12 +19,13 @@
 WORK_WEIGHT = 0.1
 # A request is refused when less than this part of the usual work time would be left for it.
 LEAST_WORK_SHARE = 0.7
-# An answer that came after its objective is worth a third, so that a queue longer than the
-# objective only makes every answer late.
-QUEUE_SHARE = 1.0
 # A caller that comes back sooner finds the same queue, and most come back only once or twice.
 MIN_RETRY_AFTER_S = 0.25
 RATE_WINDOW_S = 1.0
+# Bursts last seconds; a shorter memory would follow single requests.
+RATE_MEMORY_S = 2.0
+# Overtaking load beyond this says that nothing but the urgent is served; the estimate stays finite.
+MOST_OVERTAKING = 0.8
 
 
 class Verdict(enum.Enum):
@@ -36,11 +38,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Demand:
-    """What a request needs: its deadline in seconds on the node's clock, and its urgency."""
+    """What a request needs: its deadline in seconds on the node's clock, and its urgency.
+
+    ``kind`` names requests that take about as long as each other, such as those of one route.
+    """
 
     deadline_at: float
     objective_s: float
     priority: int
+    kind: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -53,6 +59,20 @@
     wait_s: float = 0.0
 
 
+@dataclasses.dataclass(kw_only=True)
+class Kind:
+    """What is known of requests of one kind: their urgency, work time, and how often they come.
+
+    ``arrivals`` decays over ``RATE_MEMORY_S`` and is as of ``at``.
+    """
+
+    priority: int
+    objective_s: float
+    work_s: float
+    arrivals: float = 0.0
+    at: float = 0.0
+
+
 @dataclasses.dataclass(kw_only=True)
 class Gate:
     """What the node knows of the room at its target."""
@@ -61,8 +81,12 @@
     cold_rate: float
     work_s: float = FIRST_WORK_S
     cold_until: float = float("-inf")
-    running: set[Ticket] = dataclasses.field(default_factory=set)
-    waiting: list[tuple[int, Ticket]] = dataclasses.field(default_factory=list)
+    # Short calls and long orders share a target.
+    kinds: dict[str, Kind] = dataclasses.field(default_factory=dict)
+    # The kinds of what runs.
+    running: dict[Ticket, str] = dataclasses.field(default_factory=dict)
+    # Priority, time by which the answer is due, request: the most urgent first.
+    waiting: list[tuple[int, float, Ticket]] = dataclasses.field(default_factory=list)
     demands: dict[Ticket, Demand] = dataclasses.field(default_factory=dict)
     # Starts of the last second, kept at all times: a target may have turned cold unnoticed.
     starts: collections.deque[float] = dataclasses.field(default_factory=collections.deque)
@@ -86,39 +110,94 @@
     :param demand: what the request needs.
     :param now: seconds on the node's clock.
     """
-    wait_s = predict_wait(gate, demand.priority, now)
-    enough_s = demand.deadline_at - now - LEAST_WORK_SHARE * gate.work_s
-    most_s = max(0.0, QUEUE_SHARE * demand.objective_s - LEAST_WORK_SHARE * gate.work_s)
+    wait_s = predict_wait(gate, demand, now)
+    _note_arrival(gate, demand, now)
+    work_s = expect_work(gate, demand.kind)
+    enough_s = demand.deadline_at - now - LEAST_WORK_SHARE * work_s
+    most_s = max(0.0, demand.objective_s - work_s)
     if wait_s > min(enough_s, most_s) or enough_s <= 0:
         excess_s = max(MIN_RETRY_AFTER_S, wait_s - most_s / 2)
         return Admission(verdict=Verdict.REFUSE, retry_after_s=excess_s, wait_s=wait_s)
     gate.last_ticket += 1
     ticket = Ticket(gate.last_ticket)
     if not gate.waiting and _find_room(gate, now):
-        _start(gate, ticket, now)
+        _start(gate, ticket, demand.kind, now)
         return Admission(verdict=Verdict.RUN, ticket=ticket)
-    heapq.heappush(gate.waiting, (demand.priority, ticket))
+    heapq.heappush(gate.waiting, (demand.priority, _find_due(demand, now), ticket))
     gate.demands[ticket] = demand
     return Admission(verdict=Verdict.WAIT, ticket=ticket, wait_s=wait_s)
 
 
-def predict_wait(gate: Gate, priority: int, now: float) -> float:
+def predict_wait(gate: Gate, demand: Demand, now: float) -> float:
     """Return the expected wait in seconds of a request that comes now.
 
     :param gate: the state.
-    :param priority: its urgency; only those at least as urgent are ahead of it.
+    :param demand: what it needs; only those that are as urgent and due earlier are ahead of it.
     :param now: seconds on the node's clock.
     """
-    ahead = sum(1 for other, _ in gate.waiting if other <= priority)
+    place = (demand.priority, _find_due(demand, now))
+    ahead = [ticket for *other, ticket in gate.waiting if tuple(other) <= place]
     free = gate.slots - len(gate.running)
-    wait_s = max(0, ahead + 1 - free) * gate.work_s / gate.slots
+    wait_s = 0.0
+    if free <= len(ahead):
+        # Those that run end evenly spread over their work time.
+        queued_s = sum(expect_work(gate, gate.demands[ticket].kind) for ticket in ahead)
+        wait_s = (queued_s + _expect_running(gate)) / gate.slots
+        # Those that come later and are due sooner take their part of the slots meanwhile.
+        wait_s /= 1.0 - min(MOST_OVERTAKING, _find_overtaking(gate, demand, now))
     if is_cold(gate, now) and gate.cold_rate > 0:
         _forget_starts(gate, now)
-        over = ahead + 1 + len(gate.starts) - gate.cold_rate * RATE_WINDOW_S
+        over = len(ahead) + 1 + len(gate.starts) - gate.cold_rate * RATE_WINDOW_S
         wait_s = max(wait_s, over / gate.cold_rate)
     return wait_s
 
 
+def expect_work(gate: Gate, kind: str) -> float:
+    """Return how many seconds a request takes at the target.
+
+    :param gate: the state.
+    :param kind: its kind; one that has not been seen counts as a usual request.
+    """
+    known = gate.kinds.get(kind)
+    return gate.work_s if known is None else known.work_s
+
+
+def _note_arrival(gate: Gate, demand: Demand, now: float) -> None:
+    known = gate.kinds.get(demand.kind)
+    if known is None:
+        known = gate.kinds[demand.kind] = Kind(
+            priority=demand.priority, objective_s=demand.objective_s, work_s=gate.work_s, at=now
+        )
+    known.priority, known.objective_s = demand.priority, demand.objective_s
+    known.arrivals = _read_arrivals(known, now) + 1.0
+    known.at = now
+
+
+def _read_arrivals(kind: Kind, now: float) -> float:
+    return kind.arrivals * math.exp((kind.at - now) / RATE_MEMORY_S)
+
+
+def _find_overtaking(gate: Gate, demand: Demand, now: float) -> float:
+    """Return the part of the slots that goes to requests which overtake one that comes now."""
+    urgency = (demand.priority, demand.objective_s)
+    work_s = sum(
+        _read_arrivals(kind, now) * kind.work_s
+        for kind in gate.kinds.values()
+        if (kind.priority, kind.objective_s) < urgency
+    )
+    return work_s / RATE_MEMORY_S / gate.slots
+
+
+def _expect_running(gate: Gate) -> float:
+    if not gate.running:
+        return gate.work_s
+    return sum(expect_work(gate, kind) for kind in gate.running.values()) / len(gate.running)
+
+
+def _find_due(demand: Demand, now: float) -> float:
+    return min(demand.deadline_at, now + demand.objective_s)
+
+
 def release(gate: Gate, ticket: Ticket, *, work_s: float | None) -> None:
     """Note the end of a request that ran.
 
@@ -126,8 +205,11 @@
     :param ticket: the request.
     :param work_s: seconds from sending it to the head of its answer; ``None`` if there was none.
     """
-    gate.running.discard(ticket)
-    if work_s is not None:
+    kind = gate.running.pop(ticket, None)
+    if work_s is not None and kind is not None:
+        before_s = expect_work(gate, kind)
+        if kind in gate.kinds:
+            gate.kinds[kind].work_s = before_s + WORK_WEIGHT * (work_s - before_s)
         gate.work_s += WORK_WEIGHT * (work_s - gate.work_s)
 
 
@@ -138,7 +220,7 @@
     :param ticket: the request; one that does not wait is left alone.
     """
     if gate.demands.pop(ticket, None) is not None:
-        gate.waiting = [entry for entry in gate.waiting if entry[1] != ticket]
+        gate.waiting = [entry for entry in gate.waiting if entry[-1] != ticket]
         heapq.heapify(gate.waiting)
 
 
@@ -151,9 +233,10 @@
     run: list[Ticket] = []
     late: list[Ticket] = []
     while gate.waiting:
-        _, ticket = gate.waiting[0]
+        *_, ticket = gate.waiting[0]
         demand = gate.demands[ticket]
-        is_late = now + LEAST_WORK_SHARE * gate.work_s > demand.deadline_at
+        least_s = LEAST_WORK_SHARE * expect_work(gate, demand.kind)
+        is_late = now + least_s > demand.deadline_at
         if not is_late and not _find_room(gate, now):
             break
         heapq.heappop(gate.waiting)
@@ -161,7 +244,7 @@
         if is_late:
             late.append(ticket)
             continue
-        _start(gate, ticket, now)
+        _start(gate, ticket, demand.kind, now)
         run.append(ticket)
     again_at = None
     if gate.waiting and len(gate.running) < gate.slots and gate.starts:
@@ -196,8 +279,8 @@
     return len(gate.starts) + 1 <= max(1.0, gate.cold_rate * RATE_WINDOW_S)
 
 
-def _start(gate: Gate, ticket: Ticket, now: float) -> None:
-    gate.running.add(ticket)
+def _start(gate: Gate, ticket: Ticket, kind: str, now: float) -> None:
+    gate.running[ticket] = kind
     gate.starts.append(now)
     _forget_starts(gate, now)
 
--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -92,7 +92,10 @@
     if refusal is not None:
         return refusal
     demand = gate.Demand(
-        deadline_at=call.deadline_at_s, objective_s=rules.objective_s, priority=rules.priority
+        deadline_at=call.deadline_at_s,
+        objective_s=rules.objective_s,
+        priority=rules.priority,
+        kind=rules.kind,
     )
     admitted = gate.admit(node.gate, demand, node.now())
     heat.note(
--- a/src/ebonyvalve/request/exchange.py
+++ b/src/ebonyvalve/request/exchange.py
@@ -27,7 +27,7 @@
     """What may be done with a request, as its route says. Times are seconds.
 
     ``slot`` is its key if the service's targets hold keys. ``origin`` is the service of the VM
-    from which it came, ``lifetime`` the target for which it is meant.
+    from which it came, ``kind`` its route, ``lifetime`` the target for which it is meant.
     """
 
     is_repeatable: bool
@@ -36,6 +36,7 @@
     objective_s: float
     origin: identity.ServiceId
     slot: int | None = None
+    kind: str = ""
     lifetime: identity.Lifetime = identity.Lifetime("")
 
 
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -83,6 +83,7 @@
         objective_s=route.objective_s,
         origin=node.place.service,
         slot=head.slot if policy.is_keyed else None,
+        kind=route.name.encode("ascii", "backslashreplace").decode(),
     )
     return None
 
--- a/src/ebonyvalve/request/relay.py
+++ b/src/ebonyvalve/request/relay.py
@@ -56,7 +56,7 @@
     slot = "" if rules.slot is None else str(rules.slot)
     packed = (
         f"{int(rules.is_repeatable)},{rules.attempts},{rules.priority},"
-        f"{int(rules.objective_s * 1000)},{slot}"
+        f"{int(rules.objective_s * 1000)},{slot},{rules.kind}"
     )
     return [
         (SERVICE_HEADER, call.service.encode()),
@@ -75,7 +75,7 @@
     """
     found = {name: value.decode() for name, value in headers if name.startswith(PREFIX)}
     try:
-        repeatable, attempts, priority, objective_ms, slot = found[RULES_HEADER].split(",")
+        repeatable, attempts, priority, objective_ms, slot, kind = found[RULES_HEADER].split(",", 5)
         call.service = identity.ServiceId(found[SERVICE_HEADER])
         call.deadline_at_s = now + int(found[DEADLINE_HEADER]) / 1000
         call.rules = exchange.Rules(
@@ -85,6 +85,7 @@
             objective_s=int(objective_ms) / 1000,
             origin=identity.ServiceId(found[ORIGIN_HEADER]),
             slot=int(slot) if slot else None,
+            kind=kind,
         )
     except (KeyError, ValueError) as exc:
         decision.record(log, logging.WARNING, "hop-unreadable", cause=repr(exc))
--- a/tests/process/load/test_gate.py
+++ b/tests/process/load/test_gate.py
@@ -1,5 +1,7 @@
 """Load patterns at one target: bursts, urgent and patient requests, cold starts."""
 
+import dataclasses
+import heapq
 import random
 
 import pytest
@@ -115,3 +117,95 @@
     gate.withdraw(state, second)
     gate.release(state, first, work_s=WORK_S)
     assert gate.wake(state, 0.1).run == ()
+
+
+CALL = gate.Demand(deadline_at=0.5, objective_s=0.15, priority=1, kind="call")
+ORDER = gate.Demand(deadline_at=1.5, objective_s=0.6, priority=1, kind="order")
+WORK = {"call": 0.04, "order": 0.21}
+
+
+@dataclasses.dataclass(kw_only=True)
+class Served:
+    """Requests of one kind: how they ended, and the seconds until their ends."""
+
+    refused: int = 0
+    took_s: list[float] = dataclasses.field(default_factory=list)
+
+
+def play_mix(rates: dict[str, float], slots: int, until_s: float) -> dict[str, Served]:
+    """Play orders and the calls of other requests at one target; return what became of each."""
+    rng = random.Random(7)
+    state = build_gate(slots=slots)
+    served = {"call": Served(), "order": Served()}
+    came: dict[gate.Ticket, tuple[str, float]] = {}
+    events: list[tuple[float, int, str, gate.Ticket | None]] = []
+    for number, kind in enumerate(rates):
+        events.append((rng.expovariate(rates[kind]), number, kind, None))
+    heapq.heapify(events)
+    count = 10
+
+    def start(ticket: gate.Ticket, now: float) -> None:
+        nonlocal count
+        kind, at = came[ticket]
+        work_s = WORK[kind] * rng.uniform(0.5, 1.5)
+        served[kind].took_s.append(now + work_s - at)
+        heapq.heappush(events, (now + work_s, count, kind, ticket))
+        count += 1
+
+    while events[0][0] < until_s:
+        now, number, kind, ended = heapq.heappop(events)
+        if ended is not None:
+            gate.release(state, ended, work_s=WORK[kind])
+        else:
+            heapq.heappush(events, (now + rng.expovariate(rates[kind]), number, kind, None))
+            needed = CALL if kind == "call" else ORDER
+            demand = dataclasses.replace(needed, deadline_at=now + needed.deadline_at)
+            admitted = gate.admit(state, demand, now)
+            if admitted.ticket is None:
+                served[kind].refused += 1
+                continue
+            came[admitted.ticket] = (kind, now)
+            if admitted.verdict is gate.Verdict.RUN:
+                start(admitted.ticket, now)
+        for ticket in gate.wake(state, now).run:
+            start(ticket, now)
+    return served
+
+
+def test_calls_go_ahead_of_long_orders() -> None:
+    """An evacuated zone at the Darkroom: bookings and membership checks on too few targets.
+
+    A check that is refused fails a request that has used a slot elsewhere for longer than the
+    check takes; 1098 of 7490 tries ended so on that day.
+    """
+    served = play_mix({"call": 60.0, "order": 18.0}, slots=6, until_s=60.0)
+    calls = served["call"]
+    assert calls.refused < 0.02 * len(calls.took_s)
+    assert sorted(calls.took_s)[len(calls.took_s) * 9 // 10] < CALL.objective_s
+
+
+def test_overtaken_orders_are_admitted_only_if_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Orders that calls overtake must not all end late: those that would be are told at once."""
+
+    def find_late_share() -> float:
+        orders = play_mix({"call": 60.0, "order": 25.0}, slots=6, until_s=60.0)["order"]
+        assert orders.refused
+        late = sum(1 for took_s in orders.took_s if took_s > ORDER.objective_s)
+        return late / len(orders.took_s)
+
+    foreseen = find_late_share()
+    monkeypatch.setattr(gate, "MOST_OVERTAKING", 0.0)
+    assert foreseen < 0.5 * find_late_share()
+
+
+def test_work_is_known_by_kind() -> None:
+    """Queued calls take less time than queued orders, so that more of them fit."""
+    state = build_gate(slots=1)
+    for kind, work_s in WORK.items():
+        for _ in range(40):
+            demand = gate.Demand(deadline_at=9.0, objective_s=5.0, priority=1, kind=kind)
+            ticket = gate.admit(state, demand, 0.0).ticket
+            assert ticket is not None
+            gate.release(state, ticket, work_s=work_s)
+    assert gate.expect_work(state, "call") == pytest.approx(0.04, rel=0.1)
+    assert gate.expect_work(state, "order") == pytest.approx(0.21, rel=0.1)
