Let an order that has begun end when its caller leaves

Cause: the attempt at the target was cancelled with its caller, so an order or wipe was broken off midway and nobody could say how much of it was done. Lookups, which may be repeated, are still dropped at once. The end of the process breaks off what is left. The test failed before for orders at the own and at another node.

--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -293,6 +293,7 @@
         polled = timer.subscribe(daemon.timer, period_s=DRAIN_POLL_S)
         while daemon.callers.busy or daemon.peers.busy:
             await timer.tick(daemon.timer, polled)
+    delivery.end_all(daemon.origin.delivery)
 
 
 if __name__ == "__main__":
--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -1,6 +1,7 @@
 """A request at the target beside this node: admission, one attempt, and what the answer means."""
 
 import collections.abc
+import contextlib
 import dataclasses
 import enum
 
@@ -61,6 +62,8 @@
     waiters: dict[gate.Ticket, trio.Event] = dataclasses.field(default_factory=dict)
     late: set[gate.Ticket] = dataclasses.field(default_factory=set)
     is_confirming: bool = False
+    # Around the attempts under way, so that the end of the process can break them off.
+    shields: set[trio.CancelScope] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -254,7 +257,8 @@
         p99_s=attempt.SLOW_ANSWER_S,
         is_foreign=lambda headers: dialect.is_foreign(headers, call.request_id),
     )
-    await attempt.run(way, call, caller, node.now, ended)
+    with _open_scope(delivery, call):
+        await attempt.run(way, call, caller, node.now, ended)
     if ended.failure is pool.PoolFailure.REFUSED:
         await _confirm_dead(delivery, target.lifetime)
         return Ended(result=outcome.refuse(outcome.Reason.NO_TARGET), retry_after_s=0.3)
@@ -264,6 +268,32 @@
     return Ended(result=concluded.result, is_told=concluded.is_told)
 
 
+@contextlib.contextmanager
+def _open_scope(
+    delivery: Delivery, call: exchange.Call
+) -> collections.abc.Iterator[trio.CancelScope]:
+    """Let an order that has begun go on when its caller leaves: it may be half done.
+
+    The attempt still ends at the request's deadline.
+    """
+    is_order = call.rules is not None and not call.rules.is_repeatable and call.is_whole
+    with trio.CancelScope(shield=is_order) as scope:
+        delivery.shields.add(scope)
+        try:
+            yield scope
+        finally:
+            delivery.shields.discard(scope)
+
+
+def end_all(delivery: Delivery) -> None:
+    """Let the orders that have begun be cancelled, at the end of the process.
+
+    :param delivery: the state.
+    """
+    for scope in delivery.shields:
+        scope.shield = False
+
+
 def _conclude_withheld(node: node_module.Node, judged: Judgement) -> Ended:
     if judged is Judgement.SPOILED:
         return Ended(result=outcome.doubt(outcome.Reason.CONNECTION_LOST))
--- a/src/ebonyvalve/standin/target.py
+++ b/src/ebonyvalve/standin/target.py
@@ -36,6 +36,7 @@
     released: list[tuple[int, int, str]] = dataclasses.field(default_factory=list)
     ran: list[str] = dataclasses.field(default_factory=list)
     callers: list[str] = dataclasses.field(default_factory=list)
+    dropped: int = 0
 
 
 async def serve(target: Target, stream: trio.abc.Stream) -> None:
@@ -50,7 +51,10 @@
             head, body = await http.receive_message(stream, protocol)
             if not isinstance(head, h11.Request):
                 return
-            reply, content = await _run(target, head, body)
+            answer = await _run_watched(target, stream, head, body)
+            if answer is None:
+                return
+            reply, content = answer
             await http.send_message(stream, protocol, reply, content)
             protocol.start_next_cycle()
     except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError):
@@ -60,6 +64,25 @@
         await trio.aclose_forcefully(stream)
 
 
+async def _run_watched(
+    target: Target, stream: trio.abc.Stream, head: h11.Request, body: bytes
+) -> tuple[h11.Response, bytes] | None:
+    """Run a request, or drop it when its connection closes."""
+    answer: tuple[h11.Response, bytes] | None = None
+    async with trio.open_nursery() as nursery:
+
+        async def watch() -> None:
+            await stream.receive_some(1)
+            nursery.cancel_scope.cancel()
+
+        nursery.start_soon(watch)
+        answer = await _run(target, head, body)
+        nursery.cancel_scope.cancel()
+    if answer is None:
+        target.dropped += 1
+    return answer
+
+
 async def _run(target: Target, head: h11.Request, body: bytes) -> tuple[h11.Response, bytes]:
     headers = {name.decode(): value.decode() for name, value in head.headers}
     request_id = headers.get("x-attempt-id", "")
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -122,3 +122,27 @@
         ran = [name for one in mesh.targets for name in one.ran]
         assert len(ran) == len(set(ran)) == statuses.count(200)
         assert statuses.count(200) + statuses.count(503) == number
+
+
+@pytest.mark.parametrize(
+    ("method", "node", "ran"), [("POST", 0, 1), ("POST", 1, 1), ("GET", 0, 0), ("GET", 1, 0)]
+)
+async def test_callers_that_leave(method: str, node: int, ran: int) -> None:
+    """An order that has begun goes on to its end, a lookup that nobody waits for is dropped.
+
+    A wipe that was broken off midway may have been half done, and a caller that comes back
+    can't know.
+    """
+    async with mesh_module.open_mesh(["orders", "lookup"], work_s=0.4) as mesh:
+        client = await mesh_module.open_client(mesh.outbound[node])
+        path, service = ("/orders/x", 0) if method == "POST" else ("/lookup/x", 1)
+        key = {} if method == "POST" else {"x_shard_key": "1"}
+        await mesh_module.wait_status(client, 200, path, **key)
+        one = mesh.targets[service]
+        one.ran.clear()
+        one.dropped = 0
+        with trio.move_on_after(0.2):
+            await mesh_module.ask(client, method, path, **key)
+        await client.stream.aclose()
+        await trio.sleep(0.6)
+        assert (len(one.ran), one.dropped) == (ran, 1 - ran)
