Find nodes that do not answer by pings, and start no order whose caller has left

Nodes that owe an answer for 0.4 s are now pinged and must answer; those that don't are passed by and pinged until they do. Orders in flight are given up only after 1.5 s without an answer to pings. A node that wakes would have begun orders that were given up long ago: an order whose connection has been closed already is not begun. Ruled out: leases (12 s) as the cause of the held requests; they refuse at once.

--- a/src/ebonyvalve/connection/pool.py
+++ b/src/ebonyvalve/connection/pool.py
@@ -28,13 +28,17 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Slot:
-    """One connection with what the policy knows of it. ``scope`` covers its present request."""
+    """One connection with what the policy knows of it.
+
+    ``scope`` covers its present request, and ``is_repeatable`` says that this may be sent again.
+    """
 
     name: liveness.ConnectionId
     life: liveness.Connection
     scope: trio.CancelScope
     conn: wire.Wire | None = None
     is_silent: bool = False
+    is_repeatable: bool = True
 
 
 Slots = dict[liveness.ConnectionId, Slot]
@@ -210,28 +214,17 @@
     ]
 
 
-async def probe(pool: Pool, address: identity.Address) -> bool:
-    """Open a connection to see whether the other end is there; keep it if it is.
-
-    If it is not, all requests on their way to it end as lost.
+def abandon(pool: Pool, address: identity.Address, *, with_orders: bool) -> None:
+    """End the requests that wait for an address as lost.
 
     :param pool: the pool.
     :param address: the other end.
+    :param with_orders: whether also those that may not be sent again.
     """
-    opened = await open_new(pool, address)
-    if isinstance(opened, result.Success):
-        liveness.note_idle(opened.unwrap().life, pool.now())
-        _wake(pool)
-        return True
-    for slot in list(pool.slots[address].values()):
-        slot.is_silent = True
-        slot.scope.cancel()
-        if slot.life.phase is liveness.Phase.IDLE:
-            await discard(pool, address, slot)
-    decision.record(
-        log, logging.WARNING, "peer-lost", address=address, reason=opened.failure().value
-    )
-    return False
+    for slot in pool.slots.get(address, {}).values():
+        if slot.life.phase is not liveness.Phase.IDLE and (slot.is_repeatable or with_orders):
+            slot.is_silent = True
+            slot.scope.cancel()
 
 
 def _drop(pool: Pool, address: identity.Address, slot: Slot) -> None:
--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -22,7 +22,16 @@
 from ebonyvalve.process.keyspace import grant, records, steward, tenure
 from ebonyvalve.process.load import gate, heat
 from ebonyvalve.process.observation import output, tally
-from ebonyvalve.request import attempt, delivery, exchange, front, origin, outcome, relay
+from ebonyvalve.request import (
+    attempt,
+    delivery,
+    exchange,
+    front,
+    origin,
+    outcome,
+    reachability,
+    relay,
+)
 from ebonyvalve.version import traffic
 
 log = logging.getLogger(__name__)
@@ -49,6 +58,7 @@
     callers: front.Front
     peers: front.Front
     client: store.Client
+    watch: reachability.Watch
     timer: timer.Timer
 
 
@@ -170,6 +180,7 @@
         callers=callers,
         peers=peers,
         client=client,
+        watch=reachability.Watch(node=node, peers=entry.peers, connect=sockets.connect),
         timer=clock,
     )
 
@@ -200,6 +211,10 @@
     :param call: the request.
     :param caller: the other node.
     """
+    if call.path == reachability.PING_PATH:
+        await caller.reply(204, [])
+        await caller.finish()
+        return outcome.Outcome(verdict=outcome.Verdict.ANSWERED, status=204)
     if call.path.startswith(records.LEDGER_PATH):
         return await take_ledger(keeper, call, caller)
     relay.take_seen(entry.node, call.headers)
@@ -268,7 +283,7 @@
     ticks = timer.subscribe(daemon.timer, period_s=SWEEP_S)
     while True:
         await timer.tick(daemon.timer, ticks)
-        await origin.probe_peers(daemon.origin)
+        await reachability.look(daemon.watch)
         await pool.sweep(daemon.origin.peers, p99_s=attempt.SLOW_ANSWER_S)
         await pool.sweep(daemon.origin.delivery.pool, p99_s=attempt.SLOW_ANSWER_S)
         config = daemon.origin.current.traffic
--- a/src/ebonyvalve/process/load/choice.py
+++ b/src/ebonyvalve/process/load/choice.py
@@ -75,6 +75,25 @@
     view.failures += 1
 
 
+def note_lost(view: View, now: float) -> None:
+    """Note that the target's node does not answer; it is passed by until the next ping or two.
+
+    :param view: the state.
+    :param now: seconds on the node's clock.
+    """
+    view.avoid_until = now + MOST_AVOID_S
+    view.failures = max(1, view.failures)
+
+
+def note_alive(view: View) -> None:
+    """Note that the target's node answers again.
+
+    :param view: the state.
+    """
+    view.avoid_until = float("-inf")
+    view.failures = 0
+
+
 def note_refusal(view: View, retry_after_s: float, now: float) -> None:
     """Note that the target has no room for a while.
 
--- a/src/ebonyvalve/request/attempt.py
+++ b/src/ebonyvalve/request/attempt.py
@@ -73,6 +73,7 @@
             ended.is_ended = True
             return
         slot = acquired.unwrap()
+        slot.is_repeatable = call.rules is None or call.rules.is_repeatable
         try:
             with slot.scope:
                 await dispatch.run(
--- a/src/ebonyvalve/request/exchange.py
+++ b/src/ebonyvalve/request/exchange.py
@@ -70,7 +70,8 @@
 
     ``receive`` returns the next part of the body, empty at its end. ``reply`` sends the head of
     the answer, ``write`` a part of its body and ``finish`` its end; they return whether the caller
-    is still there. ``wait_gone`` returns when the caller has closed the connection.
+    is still there. ``wait_gone`` returns when the caller has closed the connection, ``find_gone``
+    says without waiting whether it has.
     """
 
     receive: collections.abc.Callable[[], collections.abc.Awaitable[Chunk]]
@@ -78,6 +79,7 @@
     write: collections.abc.Callable[[bytes], collections.abc.Awaitable[bool]]
     finish: collections.abc.Callable[[], collections.abc.Awaitable[bool]]
     wait_gone: collections.abc.Callable[[], collections.abc.Awaitable[None]]
+    find_gone: collections.abc.Callable[[], collections.abc.Awaitable[bool]]
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -264,8 +264,16 @@
     async def wait_gone() -> None:
         await wire.wait_closed(conn)
 
+    async def find_gone() -> bool:
+        return await wire.find_closed(conn)
+
     return exchange.Caller(
-        receive=receive, reply=reply, write=write, finish=finish, wait_gone=wait_gone
+        receive=receive,
+        reply=reply,
+        write=write,
+        finish=finish,
+        wait_gone=wait_gone,
+        find_gone=find_gone,
     )
 
 
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from ebonyvalve.connection import liveness, pool, wire
+from ebonyvalve.connection import pool, wire
 from ebonyvalve.process import budget, decision, identity
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import ledger
@@ -18,8 +18,6 @@
 
 log = logging.getLogger(__name__)
 
-# Most answers come within this; after it, a new connection shows whether the node is there.
-SUSPECT_S = 0.4
 # A ledger that has just changed reaches all nodes within a few round trips to the store.
 MOVED_PAUSE_S = 0.03
 MOST_TURNS = 6
@@ -307,31 +305,6 @@
     )
 
 
-async def probe_peers(origin: Origin) -> None:
-    """Find out which nodes are lost among those that owe answers.
-
-    A VM without power answers nothing on kept connections, and a request that waits for it would
-    be held until its deadline.
-
-    :param origin: the state.
-    """
-    doubtful = pool.find_doubtful(origin.peers, p99_s=SUSPECT_S / liveness.SILENT_FACTOR)
-    if not doubtful:
-        return
-    async with trio.open_nursery() as nursery:
-        for address in doubtful:
-            nursery.start_soon(_probe, origin, address)
-
-
-async def _probe(origin: Origin, address: identity.Address) -> None:
-    if await pool.probe(origin.peers, address):
-        return
-    node = origin.node
-    for name, one in node.members.items():
-        if one.address == address:
-            choice.note_failure(node_module.read_view(node, name), node.now())
-
-
 async def serve_hop(
     origin: Origin, call: exchange.Call, caller: exchange.Caller
 ) -> outcome.Outcome:
--- /dev/null
+++ b/src/ebonyvalve/request/reachability.py
@@ -0,0 +1,105 @@
+"""Finds out which nodes answer, by pings, and ends what waits for those that don't.
+
+The kernel of a frozen machine goes on accepting connections and bytes, so only an answer shows that
+a node is there.
+"""
+
+import dataclasses
+import logging
+
+from returns import result
+import trio
+
+from ebonyvalve.connection import liveness, pool
+from ebonyvalve.process import decision, http, identity, network
+from ebonyvalve.process import node as node_module
+from ebonyvalve.process.load import choice
+
+log = logging.getLogger(__name__)
+
+PING_PATH = "/ebonyvalve/ping"
+# Most answers come within this; after it, a ping shows whether the node is there.
+SUSPECT_S = 0.4
+# A node that is short of processor time answers within this, or is as good as lost to its callers.
+PING_TIMEOUT_S = 0.35
+# A node that has answered a ping may take its time for a request.
+TRUST_S = 1.0
+# What may not be sent again is given up only when a node has not answered for this long, because
+# it ends with an unknown outcome.
+ORDER_PATIENCE_S = 1.5
+
+
+@dataclasses.dataclass(kw_only=True)
+class Watch:
+    """What is known of the nodes' answers. Times are seconds on the node's clock.
+
+    ``lost`` maps the nodes that do not answer to when that was found.
+    """
+
+    node: node_module.Node
+    peers: pool.Pool
+    connect: network.Connect
+    answered_at: dict[identity.NodeId, float] = dataclasses.field(default_factory=dict)
+    lost: dict[identity.NodeId, float] = dataclasses.field(default_factory=dict)
+
+
+async def look(watch: Watch) -> None:
+    """Ping the nodes that owe answers for too long and those that are lost.
+
+    :param watch: the state.
+    """
+    suspects = list_suspects(watch)
+    if not suspects:
+        return
+    async with trio.open_nursery() as nursery:
+        for name, address in suspects.items():
+            nursery.start_soon(_ping, watch, name, address)
+
+
+def list_suspects(watch: Watch) -> dict[identity.NodeId, identity.Address]:
+    """Return the nodes that are to be pinged now, and forget lost ones that are no members.
+
+    :param watch: the state.
+    """
+    members = watch.node.members
+    for name in [name for name in watch.lost if name not in members]:
+        del watch.lost[name]
+    late = set(pool.find_doubtful(watch.peers, p99_s=SUSPECT_S / liveness.SILENT_FACTOR))
+    trusted_since = watch.node.now() - TRUST_S
+    return {
+        name: one.address
+        for name, one in members.items()
+        if name in watch.lost
+        or (one.address in late and watch.answered_at.get(name, 0.0) < trusted_since)
+    }
+
+
+async def _ping(watch: Watch, name: identity.NodeId, address: identity.Address) -> None:
+    request = http.Request(method="GET", path=PING_PATH)
+    sent = await http.fetch(watch.connect, address, request, timeout_s=PING_TIMEOUT_S)
+    note(watch, name, address, is_answered=isinstance(sent, result.Success))
+
+
+def note(
+    watch: Watch, name: identity.NodeId, address: identity.Address, *, is_answered: bool
+) -> None:
+    """Note whether a node has answered a ping.
+
+    :param watch: the state.
+    :param name: the node.
+    :param address: where it was pinged.
+    :param is_answered: whether it has answered in time.
+    """
+    now = watch.node.now()
+    view = node_module.read_view(watch.node, name)
+    if is_answered:
+        watch.answered_at[name] = now
+        if watch.lost.pop(name, None) is not None:
+            choice.note_alive(view)
+            decision.record(log, logging.INFO, "peer-regained", peer=name)
+        return
+    since = watch.lost.setdefault(name, now)
+    if since == now:
+        decision.record(log, logging.WARNING, "peer-lost", peer=name, timeout_s=PING_TIMEOUT_S)
+    choice.note_lost(view, now)
+    pool.abandon(watch.peers, address, with_orders=now - since >= ORDER_PATIENCE_S)
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -1,5 +1,7 @@
 """The whole path on loopback: daemons with targets and the stand-in of the store."""
 
+import socket
+
 import pytest
 import trio
 
@@ -146,3 +148,18 @@
         await client.stream.aclose()
         await trio.sleep(0.6)
         assert (len(one.ran), one.dropped) == (ran, 1 - ran)
+
+
+async def test_order_whose_caller_has_left_does_not_begin() -> None:
+    """A node that wakes from a freeze reads orders that were given up seconds ago."""
+    async with mesh_module.open_mesh(["orders", "lookup"]) as mesh:
+        warm = await mesh_module.open_client(mesh.outbound[0])
+        await mesh_module.wait_status(warm, 200, "/orders/warm")
+        mesh.targets[0].ran.clear()
+        for number in range(20):
+            head = f"POST /orders/x HTTP/1.1\r\nhost: {mesh_module.HOST}\r\nx-attempt-id: {number}"
+            # Without a turn of the loop, so that the node finds the request and its end together.
+            with socket.create_connection(network.split_address(mesh.outbound[0])) as sock:
+                sock.sendall(f"{head}\r\ncontent-length: 0\r\n\r\n".encode())
+        await trio.sleep(0.3)
+        assert mesh.targets[0].ran == []
--- a/tests/request/test_foreign.py
+++ b/tests/request/test_foreign.py
@@ -35,7 +35,7 @@
         return True
 
     caller = exchange.Caller(
-        receive=None, reply=reply, write=write, finish=finish, wait_gone=None  # type: ignore[arg-type]
+        receive=None, reply=reply, write=write, finish=finish, wait_gone=None, find_gone=None  # type: ignore[arg-type]
     )
     ended = dispatch.Attempt()
 
@@ -98,7 +98,7 @@
         return True
 
     caller = exchange.Caller(
-        receive=None, reply=reply, write=write, finish=finish, wait_gone=None  # type: ignore[arg-type]
+        receive=None, reply=reply, write=write, finish=finish, wait_gone=None, find_gone=None  # type: ignore[arg-type]
     )
     kept = held.hold_back(caller)
     await kept.caller.reply(200, [(b"a", b"broken")])
--- a/tests/request/test_origin.py
+++ b/tests/request/test_origin.py
@@ -114,7 +114,7 @@
     monkeypatch.setattr(origin, "_try_one", try_one)
     tried: list[identity.NodeId] = []
     caller = exchange.Caller(
-        receive=None, reply=None, write=None, finish=None, wait_gone=None  # type: ignore[arg-type]
+        receive=None, reply=None, write=None, finish=None, wait_gone=None, find_gone=None  # type: ignore[arg-type]
     )
     call = build_call(is_repeatable=is_repeatable)
     ended = await origin._try_all(entry, call, caller, tried)
--- /dev/null
+++ b/tests/request/test_reachability.py
@@ -0,0 +1,123 @@
+"""Nodes that stop answering: without power, frozen, or only slow."""
+
+import dataclasses
+
+import pytest
+import trio
+import trio.testing
+
+from ebonyvalve.connection import liveness, pool
+from ebonyvalve.process import identity
+from ebonyvalve.process import node as node_module
+from ebonyvalve.request import reachability
+from tests.request import test_origin
+
+NAME = test_origin.NAMES[0]
+ADDRESS = identity.Address(f"{NAME}:1")
+
+
+@dataclasses.dataclass(kw_only=True)
+class Peer:
+    """Another node. A frozen one accepts connections and bytes, and answers nothing."""
+
+    is_frozen: bool = False
+    answer: bytes = b"HTTP/1.1 204 No Content\r\n\r\n"
+
+
+def build_watch(nursery: trio.Nursery, peer: Peer) -> reachability.Watch:
+    async def serve(stream: trio.abc.Stream) -> None:
+        await stream.receive_some()
+        if not peer.is_frozen:
+            await stream.send_all(peer.answer)
+        await trio.sleep_forever()
+
+    async def connect(_: str) -> trio.abc.Stream:
+        ours, theirs = trio.testing.memory_stream_pair()
+        nursery.start_soon(serve, theirs)
+        return ours
+
+    node = test_origin.build_origin(0.0).node
+    peers = pool.Pool(connect=connect, now=trio.current_time)
+    return reachability.Watch(node=node, peers=peers, connect=connect)
+
+
+async def send(watch: reachability.Watch, *, is_repeatable: bool = True) -> pool.Slot:
+    """Begin a request that the node does not answer."""
+    slot = (await pool.acquire(watch.peers, ADDRESS, p99_s=None)).unwrap()
+    slot.is_repeatable = is_repeatable
+    liveness.note_asked(slot.life, trio.current_time())
+    return slot
+
+
+async def watch_for(watch: reachability.Watch, seconds: float) -> None:
+    for _ in range(round(seconds / 0.25)):
+        await trio.sleep(0.25)
+        await reachability.look(watch)
+
+
+async def test_requests_to_a_frozen_node_end(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Frozen nodes on a day of Andinaflota: 923 requests were held until their deadlines.
+
+    Connections to a frozen machine open as usual, so that a new one proved nothing.
+    """
+    watch = build_watch(nursery, Peer(is_frozen=True))
+    slot = await send(watch)
+    await watch_for(watch, 1.5)
+    assert slot.scope.cancel_called
+    assert NAME in watch.lost
+    assert node_module.read_view(watch.node, NAME).avoid_until > trio.current_time()
+
+
+async def test_orders_to_a_frozen_node_have_more_patience(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """An order that is given up ends with an unknown outcome and can't be tried elsewhere."""
+    watch = build_watch(nursery, Peer(is_frozen=True))
+    slot = await send(watch, is_repeatable=False)
+    await watch_for(watch, 1.5)
+    assert NAME in watch.lost
+    assert not slot.scope.cancel_called
+    await watch_for(watch, 2.5)
+    assert slot.scope.cancel_called
+
+
+async def test_slow_answers_are_waited_for(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """A node with a long queue answers pings, and what it was sent is left alone."""
+    watch = build_watch(nursery, Peer())
+    slot = await send(watch)
+    await watch_for(watch, 3.0)
+    assert not slot.scope.cancel_called
+    assert not watch.lost
+
+
+async def test_node_that_wakes_is_used_again(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """It is pinged until it answers, so that no request has to find out."""
+    peer = Peer(is_frozen=True)
+    watch = build_watch(nursery, peer)
+    await send(watch)
+    await watch_for(watch, 2.0)
+    view = node_module.read_view(watch.node, NAME)
+    assert view.avoid_until > trio.current_time()
+    peer.is_frozen = False
+    await watch_for(watch, 0.5)
+    assert not watch.lost
+    assert view.avoid_until <= trio.current_time()
+
+
+@pytest.mark.parametrize("is_member", [True, False])
+async def test_lost_nodes_that_have_left_are_forgotten(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock, is_member: bool
+) -> None:
+    """A machine that was replaced is not pinged for ever."""
+    watch = build_watch(nursery, Peer(is_frozen=True))
+    await send(watch)
+    await watch_for(watch, 1.5)
+    if not is_member:
+        del watch.node.members[NAME]
+    assert (NAME in reachability.list_suspects(watch)) is is_member
