Let a target work while its node stops

The target was idle meanwhile, since it is reached only through its node. Now it gets work until callers have gone; a node that refuses since it ends, is drained or has lost its target is passed by for a moment.

--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -77,12 +77,16 @@
 
 
 async def run(
-    place: place_module.Place, read_settings: collections.abc.Callable[[], bytes] | None = None
+    place: place_module.Place,
+    read_settings: collections.abc.Callable[[], bytes] | None = None,
+    *,
+    task_status: trio.TaskStatus[Daemon] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Run the daemon.
 
     :param place: from the settings.
     :param read_settings: returns the content of the settings file, if that may change.
+    :param task_status: gets the daemon when its tasks have begun.
     """
     daemon = build(place)
     decision.record(log, logging.INFO, "start", node=place.node, service=place.service)
@@ -113,6 +117,7 @@
         )
         if read_settings is not None:
             nursery.start_soon(reload.follow, daemon.node, daemon.client, received, read_settings)
+        task_status.started(daemon)
         await received.stop.wait()
         await stop(daemon)
         nursery.cancel_scope.cancel()
@@ -294,8 +299,8 @@
 async def stop(daemon: Daemon) -> None:
     """Let callers go elsewhere and requests in flight end.
 
-    Requests without a key go to other targets at once. Those with a key can only be run here, and
-    the target's own calls only come here, so that they are taken to the end.
+    The target goes on running and can only be reached here, so that it gets work until callers
+    have gone elsewhere. Then new work is refused and what is in flight is taken to its end.
 
     :param daemon: the daemon.
     """
--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -144,7 +144,7 @@
         return Ended(result=outcome.refuse(outcome.Reason.NO_TARGET), retry_after_s=0.5)
     if call.service != node.place.service:
         return Ended(result=outcome.refuse(outcome.Reason.MOVED))
-    if node.is_ending or (node.is_stopping and rules.slot is None):
+    if node.is_ending:
         return Ended(result=outcome.refuse(outcome.Reason.STOPPING), retry_after_s=RESTART_S)
     if not node_module.is_open(node):
         # Keys stay with a leaving target until they have been handed over.
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -28,6 +28,16 @@
 WORTH_A_TURN = frozenset(
     {outcome.Reason.MOVED, outcome.Reason.STALE_FENCE, outcome.Reason.CONNECTION_LOST}
 )
+# The target would refuse the next request as well.
+NO_ROOM = frozenset(
+    {
+        outcome.Reason.QUEUE_FULL,
+        outcome.Reason.TARGET_SHED,
+        outcome.Reason.STOPPING,
+        outcome.Reason.DRAINED,
+        outcome.Reason.NO_TARGET,
+    }
+)
 # Gives a node that has just lost a target time to learn of it.
 RETRY_AFTER_S = 0.4
 RETRY_SPREAD = 0.6
@@ -256,8 +266,7 @@
             ended = await _hop(origin, call, caller, name, view)
     finally:
         view.outstanding -= 1
-    is_full = ended.result.reason in (outcome.Reason.QUEUE_FULL, outcome.Reason.TARGET_SHED)
-    if is_full and ended.result.verdict is outcome.Verdict.NOT_RUN:
+    if ended.result.reason in NO_ROOM and ended.result.verdict is outcome.Verdict.NOT_RUN:
         choice.note_refusal(view, ended.retry_after_s, node.now())
     return ended
 
--- a/tests/platform/mesh.py
+++ b/tests/platform/mesh.py
@@ -26,6 +26,7 @@
     outbound: list[str]
     ready: list[str]
     targets: list[target.Target]
+    daemons: list[daemon.Daemon] = dataclasses.field(default_factory=list)
 
 
 def find_ports(count: int) -> list[int]:
@@ -122,7 +123,7 @@
                 network.listen_tcp, place.target_address, functools.partial(target.serve, one)
             )
             nursery.start_soon(target.report, one)
-            nursery.start_soon(daemon.run, place)
+            mesh.daemons.append(await nursery.start(daemon.run, place))
         yield mesh
         nursery.cancel_scope.cancel()
 
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -163,3 +163,17 @@
                 sock.sendall(f"{head}\r\ncontent-length: 0\r\n\r\n".encode())
         await trio.sleep(0.3)
         assert mesh.targets[0].ran == []
+
+
+@pytest.mark.parametrize(("is_ending", "status"), [(False, 200), (True, 503)])
+async def test_target_works_while_its_node_stops(is_ending: bool, status: int) -> None:
+    """A rolling stop in a burst: 10 of 14 targets idled beside nodes that waited for callers to go.
+
+    The target is reached only through its node, which has work to hand on until it ends.
+    """
+    async with mesh_module.open_mesh(["orders", "lookup"]) as mesh:
+        client = await mesh_module.open_client(mesh.outbound[1])
+        await mesh_module.wait_status(client, 200, "/orders/warm")
+        stopping = mesh.daemons[0].node
+        stopping.is_stopping, stopping.is_ending = True, is_ending
+        assert (await mesh_module.ask(client, "POST", "/orders/x"))[0] == status
