Let heirs relieve themselves, and refuse at once what ends before its key comes

Also, requests for keys that had not come yet were held until their deadlines, though keys come with the target's next report and that is known.

--- a/src/ebonyvalve/process/keyspace/steward.py
+++ b/src/ebonyvalve/process/keyspace/steward.py
@@ -156,11 +156,11 @@
     own = next((one for one in situation.candidates if one.node == node.place.node), None)
     if own is None:
         return book
-    settling = {name for name, at in steward.received_at.items() if now < at + RELIEF_PAUSE_S} | {
-        span.heir for span in book.spans
-    }
+    settling = {name for name, at in steward.received_at.items() if now < at + RELIEF_PAUSE_S}
     if own.lifetime in settling:
         return book
+    # Keys that are on their way here come after a heartbeat or two, too late to wait for them.
+    settling |= {identity.Lifetime(span.heir) for span in book.spans if span.heir}
     held = ledger.list_held(book, own.lifetime)
     heat.keep(node.heat, [(span.first, span.last) for span in held])
     loads = {one.node: _estimate(steward, one) for one in situation.candidates}
--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -161,12 +161,28 @@
         if found.result.reason is not outcome.Reason.LEASE_LAPSED or not may_wait:
             return found
         left_s = call.deadline_at_s - node.now() - node.gate.work_s
+        due_s = predict_grant(node)
+        if due_s > left_s:
+            found.retry_after_s = due_s
+            return found
         with trio.move_on_after(max(0.0, left_s)) as scope:
             await node.changed.wait()
         if scope.cancelled_caught:
             return found
 
 
+def predict_grant(node: node_module.Node) -> float:
+    """Return in how many seconds the target may have keys that are on their way to it.
+
+    It takes them with the answer to its next report.
+
+    :param node: the node.
+    """
+    assert node.target is not None
+    next_at = node.target.reported_at + node.place.heartbeat_s
+    return max(0.0, next_at - node.now()) + GRANT_RETRY_S
+
+
 def _find_holder(node: node_module.Node, slot: int) -> Ended | None:
     """Return why a key can't be served here, or ``None`` if it can."""
     book = node.books.get(node.place.service)
--- /dev/null
+++ b/tests/request/test_delivery.py
@@ -0,0 +1,76 @@
+"""Requests for keys that are on their way to the target beside this node."""
+
+import trio
+import trio.testing
+
+from ebonyvalve.process import identity, member
+from ebonyvalve.process import node as node_module
+from ebonyvalve.process.keyspace import ledger
+from ebonyvalve.request import delivery, exchange, outcome
+from tests.request import test_origin
+
+SERVICE = identity.ServiceId("lookup")
+LIFETIME = identity.Lifetime("t@1")
+
+
+def build_delivery() -> delivery.Delivery:
+    """Return a node whose target has been given all keys but not been told of them."""
+    state = test_origin.build_origin(0.0).delivery
+    node = state.node
+    node.target = node_module.Target(
+        lifetime=LIFETIME,
+        born_ms=1,
+        slots=4,
+        state=member.TargetState.READY,
+        reported_at=trio.current_time(),
+    )
+    span = ledger.Span(first=0, last=identity.LAST_SLOT, fence=1, node="me", holder=LIFETIME)
+    node.books[SERVICE] = node_module.Book(ledger=ledger.Ledger(spans=(span,)), version=1)
+    return state
+
+
+def build_call(left_s: float) -> exchange.Call:
+    call = test_origin.build_call(is_repeatable=True)
+    call.service = SERVICE
+    call.deadline_at_s = trio.current_time() + left_s
+    assert call.rules is not None
+    call.rules = exchange.Rules(
+        is_repeatable=True,
+        attempts=2,
+        priority=1,
+        objective_s=0.5,
+        origin=SERVICE,
+        slot=7,
+    )
+    return call
+
+
+async def run(state: delivery.Delivery, call: exchange.Call) -> delivery.Ended:
+    caller = exchange.Caller(
+        receive=None, reply=None, write=None, finish=None, wait_gone=None, find_gone=None  # type: ignore[arg-type]
+    )
+    return await delivery.run(state, call, caller)
+
+
+async def test_request_that_ends_before_its_key_comes_is_refused_at_once(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Keys come with the next report; requests were held until their deadlines and refused then."""
+    state = build_delivery()
+    started_at = trio.current_time()
+    ended = await run(state, build_call(0.8))
+    assert trio.current_time() == started_at
+    assert ended.result.reason is outcome.Reason.LEASE_LAPSED
+    # The heartbeat of the place is 1 s.
+    assert 1.0 <= ended.retry_after_s <= 1.5
+
+
+async def test_request_that_can_wait_for_its_key_does(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """A caller that came back would find the same, later."""
+    state = build_delivery()
+    started_at = trio.current_time()
+    ended = await run(state, build_call(2.0))
+    assert ended.result.reason is outcome.Reason.LEASE_LAPSED
+    assert 1.0 < trio.current_time() - started_at < 2.0
