--- a/src/ebonyvalve/version/traffic.py
+++ b/src/ebonyvalve/version/traffic.py
@@ -171,3 +171,48 @@
         yield f"time-out of {route.timeout_s} s can't be met"
     if route.attempts < 1:
         yield f"attempts must be at least 1, not {route.attempts}"
+
+
+def list_changes(before: Traffic, after: Traffic) -> list[str]:
+    """Return what callers and targets would notice of a new configuration, a line each.
+
+    :param before: the configuration in force.
+    :param after: the one that would replace it.
+    """
+    old = {(route.host, route.prefix): route for route in before.routes}
+    new = {(route.host, route.prefix): route for route in after.routes}
+    lines = [
+        f"{host}{prefix}: its callers would be told 404; route {route.name!r} goes"
+        for (host, prefix), route in old.items()
+        if (host, prefix) not in new
+    ]
+    for (host, prefix), route in new.items():
+        known = old.get((host, prefix))
+        if known is None:
+            lines.append(f"{host}{prefix}: new, to {_describe_shares(route)}")
+            continue
+        lines.extend(f"{host}{prefix}: {text}" for text in _list_route_changes(known, route))
+    for name, service in after.services.items():
+        was = before.services.get(name)
+        if was is not None and was.is_keyed != service.is_keyed:
+            kind = "by key" if service.is_keyed else "without keys"
+            lines.append(f"service {name}: would be served {kind} from now on")
+    return lines
+
+
+def _list_route_changes(before: Route, after: Route) -> collections.abc.Iterator[str]:
+    if before.shares != after.shares:
+        yield f"from {_describe_shares(before)} to {_describe_shares(after)}"
+    if before.repeat is not after.repeat:
+        yield f"requests are {after.repeat.value} instead of {before.repeat.value}"
+    if before.timeout_s != after.timeout_s:
+        yield f"time-out {before.timeout_s:g} s -> {after.timeout_s:g} s"
+    if before.attempts != after.attempts:
+        yield f"attempts {before.attempts} -> {after.attempts}"
+    if before.priority != after.priority:
+        yield f"priority {before.priority} -> {after.priority}"
+
+
+def _describe_shares(route: Route) -> str:
+    total = sum(share.weight for share in route.shares)
+    return ", ".join(f"{share.service} {100 * share.weight / total:.0f}%" for share in route.shares)
