--- a/tests/process/keyspace/test_steward.py
+++ b/tests/process/keyspace/test_steward.py
@@ -41,6 +41,8 @@
 class Machine:
     name: identity.NodeId
     number: int
+    # Empty for one that follows from the name.
+    address: str = ""
     scope: trio.CancelScope | None = None
     keeper: records.Steward | None = None
     target: Target | None = None
@@ -56,8 +58,8 @@
     violations: list[str] = dataclasses.field(default_factory=list)
 
 
-def build_place(name: identity.NodeId) -> place.Place:
-    address = identity.Address(f"{name}:1")
+def build_place(name: identity.NodeId, address: str) -> place.Place:
+    address = identity.Address(address or f"{name}:1")
     return place.Place(
         node=name,
         zone=identity.ZoneId("z1"),
@@ -100,7 +102,7 @@
     wakeups = timer.Timer(clock=now)
     rng = random.Random(machine.number)
     node = node_module.Node(
-        place=build_place(machine.name),
+        place=build_place(machine.name, machine.address),
         incarnation=identity.Incarnation(str(next(world.births))),
         wakeups=wakeups,
         now=now,
@@ -392,6 +394,32 @@
     assert holder.target.holds
 
 
+# The design's bound on the time until the keys of a lost node are served again.
+RECOVERY_S = 1.0
+
+
+async def test_keys_of_a_machine_whose_address_has_a_new_node(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Incident inc-c150 of Andinaflota: lookups were refused until the lease of the lost one ended.
+
+    Its address answered, for another machine had it, so that nothing else was to be waited for.
+    """
+    world = await build_world(nursery)
+    lost = world.machines[0]
+    stop_node(lost)
+    lost.target = None
+    await trio.sleep(2.0)
+    heir = Machine(name=identity.NodeId("n9"), number=9, address=f"{lost.name}:1")
+    world.machines.append(heir)
+    nursery.start_soon(run_node, world, heir)
+    start_target(world, heir)
+    while ("mesh", "", "member/n9") not in world.state.rows:  # noqa: ASYNC110
+        await trio.sleep(0.05)
+    assert await wait_whole(world, 18.0) < RECOVERY_S + HEARTBEAT_S
+    assert world.violations == []
+
+
 FAULTS = ["kill-node", "crash-target", "restart-target", "freeze", "store", "store-some", "leave"]
 
 
