Free the keys of a lost machine when its address has a new node

Cause: the ledger names a lost node until its lease of 12 s has ended.

Ruled out: comparing the versions of the two member rows at other nodes. A write of the lost node that is done late has the newer version, and the living node would lose its keys.

Change: the node that has the address now knows at first hand that the other machine has ended. With its own announcement it removes the rows of such nodes, once its target has reported as another lifetime. The others read the leases again and take the keys. Pings name the node that is meant.

--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -19,7 +19,7 @@
 from ebonyvalve.process import budget, decision, http, identity, network, signals, timer
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process import place as place_module
-from ebonyvalve.process.keyspace import grant, records, steward, tenure
+from ebonyvalve.process.keyspace import grant, presence, records, steward, tenure
 from ebonyvalve.process.load import gate, heat
 from ebonyvalve.process.observation import output, tally
 from ebonyvalve.request import (
@@ -93,7 +93,7 @@
     async with signals.open_receiver() as received, trio.open_nursery() as nursery:
         for task in (
             functools.partial(records.follow_mesh, daemon.steward),
-            functools.partial(records.announce, daemon.steward),
+            functools.partial(presence.announce, daemon.steward),
             functools.partial(tenure.keep_lease, daemon.steward),
             functools.partial(steward.tend, daemon.steward),
             functools.partial(records.push_ledger, daemon.steward),
@@ -216,8 +216,8 @@
     :param call: the request.
     :param caller: the other node.
     """
-    if call.path == reachability.PING_PATH:
-        return await acknowledge(caller, 204)
+    if call.path.startswith(reachability.PING_PATH):
+        return await acknowledge(caller, reachability.answer(entry.node, call.path))
     if call.path.startswith(records.LEDGER_PATH):
         return await take_ledger(keeper, call, caller)
     relay.take_seen(entry.node, call.headers)
--- a/src/ebonyvalve/process/keyspace/records.py
+++ b/src/ebonyvalve/process/keyspace/records.py
@@ -16,6 +16,7 @@
 log = logging.getLogger(__name__)
 
 MESH = table.TableName("mesh")
+LEASES = table.TableName("lease")
 MEMBER_PREFIX = "member/"
 BOOK_PREFIX = "book/"
 # A follow that returns nothing costs a call; silent connections are found by keep-alive probes.
@@ -47,6 +48,8 @@
     received_at: dict[identity.Lifetime, float] = dataclasses.field(default_factory=dict)
     # Whether a ledger was written that the service's other nodes have not been told of.
     has_news: bool = False
+    # Whether the lease of a node may have been removed since the leases were read.
+    has_doubtful_leases: bool = False
 
 
 async def follow_mesh(steward: Steward) -> None:
@@ -98,7 +101,7 @@
         names = {row.name.key for row in read.rows}
         for name in list(node.members):
             if MEMBER_PREFIX + name not in names:
-                del node.members[name]
+                drop_member(steward, name)
     for row in read.rows:
         _take_row(steward, row)
     steward.mesh_version = max(steward.mesh_version, read.version)
@@ -120,13 +123,12 @@
 
 
 def _take_row(steward: Steward, row: table.Row) -> None:
-    node = steward.node
     key = row.name.key
     try:
         if key.startswith(MEMBER_PREFIX):
             name = identity.NodeId(key.removeprefix(MEMBER_PREFIX))
             if row.is_removed:
-                node.members.pop(name, None)
+                drop_member(steward, name)
             else:
                 _take_member(steward, member.decode(row.value))
         elif key.startswith(BOOK_PREFIX) and not row.is_removed:
@@ -135,6 +137,22 @@
         decision.record(log, logging.ERROR, "row-unreadable", row=key, cause=str(exc))
 
 
+def drop_member(steward: Steward, name: identity.NodeId) -> None:
+    """Forget a node whose row was removed.
+
+    :param steward: the state.
+    :param name: the node.
+    """
+    node = steward.node
+    node.members.pop(name, None)
+    book = node.books.get(node.place.service)
+    if book is None or name not in node.leases:
+        return
+    # Its lease may have been removed with it; then its keys are free.
+    if any(span.node == name for span in book.ledger.spans):
+        steward.has_doubtful_leases = True
+
+
 def _take_member(steward: Steward, known: member.Member) -> None:
     node = steward.node
     before = node.members.get(known.node)
@@ -188,28 +206,6 @@
         steward.received_at.update(dict.fromkeys(ledger.find_receivers(before, after), now))
 
 
-async def announce(steward: Steward) -> None:
-    """Write the node's own announcement whenever it changes, until cancelled.
-
-    :param steward: the state.
-    """
-    node = steward.node
-    while True:
-        changed = node.changed
-        own = node_module.describe(node)
-        if own is None or own == steward.announced:
-            await changed.wait()
-            continue
-        name = table.Name(table=MESH, key=MEMBER_PREFIX + node.place.node)
-        is_gone = own.state is member.TargetState.GONE
-        value = None if is_gone else member.encode(own)
-        done = await steward.store.commit({}, {name: value})
-        if isinstance(done, table.Committed):
-            steward.announced = own
-        else:
-            await node_module.pause(steward.node, RETRY_S)
-
-
 async def push_ledger(steward: Steward) -> None:
     """Tell the service's other nodes of a new ledger, until cancelled.
 
--- a/src/ebonyvalve/process/keyspace/steward.py
+++ b/src/ebonyvalve/process/keyspace/steward.py
@@ -82,7 +82,8 @@
     taken = {span.node for span in book.ledger.spans if span.node and span.node in situation.over}
     # A node that is thought to have no lease must have none when its keys are taken.
     ended = {
-        table.Name(table=tenure.LEASES, key=lost): _read_lease_version(node, lost) for lost in taken
+        table.Name(table=records.LEASES, key=lost): _read_lease_version(node, lost)
+        for lost in taken
     }
     return await _write(steward, name, book.version, proposed, ended)
 
--- a/src/ebonyvalve/process/keyspace/tenure.py
+++ b/src/ebonyvalve/process/keyspace/tenure.py
@@ -11,8 +11,7 @@
 
 log = logging.getLogger(__name__)
 
-LEASES = table.TableName("lease")
-# Leases are read this often while members without one have joined.
+# Leases are read this often while there is reason to think that they have changed.
 GATHER_PAUSE_S = 0.5
 
 
@@ -34,13 +33,14 @@
 
 
 async def _sleep_until_renewal(steward: records.Steward) -> None:
-    """Sleep for a renewal's period, reading leases sooner while members without one have joined."""
+    """Sleep for a renewal's period, reading leases sooner if members have come or gone."""
     node = steward.node
     renew_at = node.now() + lease.RENEW_S
     while node.now() + GATHER_PAUSE_S < renew_at:
         await node_module.pause(steward.node, GATHER_PAUSE_S)
         joined = node_module.list_open_members(node, node.place.service)
-        if any(one.node not in node.leases for one in joined):
+        is_new = any(one.node not in node.leases for one in joined)
+        if is_new or steward.has_doubtful_leases:
             await read_leases(steward)
     await node_module.pause(steward.node, max(0.0, renew_at - node.now()))
 
@@ -51,7 +51,7 @@
         await read_leases(steward)
         if node.clock is None:
             return False
-    name = table.Name(table=LEASES, key=node.place.node)
+    name = table.Name(table=records.LEASES, key=node.place.node)
     until_s = lease.renew(steward.lease_row, node.clock, node.now())
     measured = node_module.measure(node)
     row = lease.LeaseRow(
@@ -74,7 +74,7 @@
 
 async def _recover_lease(steward: records.Steward, name: table.Name) -> None:
     """Find out which lease the table has after a conflict or a lost answer."""
-    read = await steward.store.read(LEASES)
+    read = await steward.store.read(records.LEASES)
     if not isinstance(read, table.Rows):
         return
     rows = {row.name: row for row in read.rows}
@@ -98,7 +98,7 @@
 
 async def read_leases(steward: records.Steward) -> None:
     node = steward.node
-    read = await steward.store.read(LEASES)
+    read = await steward.store.read(records.LEASES)
     if not isinstance(read, table.Rows):
         return
     records.take_clock(steward, read.clock)
@@ -113,6 +113,7 @@
             row=decoded, version=row.version
         )
     node.leases = leases
+    steward.has_doubtful_leases = False
     steward.leases_read_at = node.now()
     node_module.pulse(node)
 
--- a/src/ebonyvalve/request/reachability.py
+++ b/src/ebonyvalve/request/reachability.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import logging
+import urllib.parse
 
 from returns import result
 import trio
@@ -17,7 +18,10 @@
 
 log = logging.getLogger(__name__)
 
-PING_PATH = "/ebonyvalve/ping"
+# Followed by the name of the node that is meant: an address may have gone to another one.
+PING_PATH = "/ebonyvalve/ping/"
+ANSWERED_STATUS = 204
+OTHER_NODE_STATUS = 421
 # Most answers come within this; after it, a ping shows whether the node is there.
 SUSPECT_S = 0.4
 # A node that is short of processor time answers within this, or is as good as lost to its callers.
@@ -75,9 +79,24 @@
 
 
 async def _ping(watch: Watch, name: identity.NodeId, address: identity.Address) -> None:
-    request = http.Request(method="GET", path=PING_PATH)
+    request = http.Request(method="GET", path=PING_PATH + urllib.parse.quote(name, safe=""))
     sent = await http.fetch(watch.connect, address, request, timeout_s=PING_TIMEOUT_S)
-    note(watch, name, address, is_answered=isinstance(sent, result.Success))
+    status = sent.unwrap().status if isinstance(sent, result.Success) else None
+    if status == OTHER_NODE_STATUS:
+        # What is under way to this address is the other node's.
+        note_lost(watch, name, "another node has its address")
+    else:
+        note(watch, name, address, is_answered=status == ANSWERED_STATUS)
+
+
+def answer(node: node_module.Node, path: str) -> int:
+    """Return the status that answers a ping.
+
+    :param node: the node that was pinged.
+    :param path: the ping's path; it names the node that was meant.
+    """
+    meant = urllib.parse.unquote(path.removeprefix(PING_PATH))
+    return ANSWERED_STATUS if meant == node.place.node else OTHER_NODE_STATUS
 
 
 def note(
@@ -90,16 +109,26 @@
     :param address: where it was pinged.
     :param is_answered: whether it has answered in time.
     """
-    now = watch.node.now()
-    view = node_module.read_view(watch.node, name)
     if is_answered:
-        watch.answered_at[name] = now
+        watch.answered_at[name] = watch.node.now()
         if watch.lost.pop(name, None) is not None:
-            choice.note_alive(view)
+            choice.note_alive(node_module.read_view(watch.node, name))
             decision.record(log, logging.INFO, "peer-regained", peer=name)
         return
+    lost_for_s = note_lost(watch, name, f"no answer within {PING_TIMEOUT_S} s")
+    pool.abandon(watch.peers, address, with_orders=lost_for_s >= ORDER_PATIENCE_S)
+
+
+def note_lost(watch: Watch, name: identity.NodeId, reason: str) -> float:
+    """Note that a node can't be reached; return for how many seconds that is known.
+
+    :param watch: the state.
+    :param name: the node.
+    :param reason: what shows it.
+    """
+    now = watch.node.now()
     since = watch.lost.setdefault(name, now)
     if since == now:
-        decision.record(log, logging.WARNING, "peer-lost", peer=name, timeout_s=PING_TIMEOUT_S)
-    choice.note_lost(view, now)
-    pool.abandon(watch.peers, address, with_orders=now - since >= ORDER_PATIENCE_S)
+        decision.record(log, logging.WARNING, "peer-lost", peer=name, reason=reason)
+    choice.note_lost(node_module.read_view(watch.node, name), now)
+    return now - since
--- a/tests/process/keyspace/test_steward.py
+++ b/tests/process/keyspace/test_steward.py
@@ -13,7 +13,7 @@
 from ebonyvalve.platform import store as store_module
 from ebonyvalve.process import budget, http, identity, member, place, timer
 from ebonyvalve.process import node as node_module
-from ebonyvalve.process.keyspace import grant, lease, ledger, records, steward, tenure
+from ebonyvalve.process.keyspace import grant, lease, ledger, presence, records, steward, tenure
 from ebonyvalve.process.load import gate, heat, policy
 from ebonyvalve.standin import metadata
 
@@ -125,7 +125,7 @@
             nursery.start_soon(timer.run, keeper.node.wakeups)
             for task in (
                 records.follow_mesh,
-                records.announce,
+                presence.announce,
                 tenure.keep_lease,
                 steward.tend,
                 records.push_ledger,
@@ -420,6 +420,47 @@
     assert world.violations == []
 
 
+async def test_row_of_a_succeeded_node_that_is_written_late_is_removed_again(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """A write whose answer was lost may be done seconds later, after its writer has ended."""
+    world = await build_world(nursery)
+    lost = world.machines[0]
+    row = world.state.rows[("mesh", "", f"member/{lost.name}")].value
+    stop_node(lost)
+    lost.target = None
+    heir = Machine(name=identity.NodeId("n9"), number=9, address=f"{lost.name}:1")
+    world.machines.append(heir)
+    nursery.start_soon(run_node, world, heir)
+    start_target(world, heir)
+    await trio.sleep(4.0)
+    metadata.put(world.state, "mesh", f"member/{lost.name}", row)
+    await trio.sleep(2.0)
+    assert world.state.rows[("mesh", "", f"member/{lost.name}")].value is None
+    assert heir.keeper is not None
+    assert lost.name not in heir.keeper.node.members
+    assert world.violations == []
+
+
+async def test_node_with_a_new_name_beside_a_living_target_takes_nothing_from_it(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Its row names the target that still runs and still holds keys."""
+    world = await build_world(nursery)
+    machine = world.machines[0]
+    assert machine.target is not None
+    holds = dict(machine.target.holds)
+    stop_node(machine)
+    machine.address = f"{machine.name}:1"
+    machine.name = identity.NodeId("renamed")
+    nursery.start_soon(run_node, world, machine)
+    await trio.sleep(2.0)
+    assert machine.target.holds == holds
+    assert world.state.rows[("mesh", "", "member/n0")].value is not None
+    await trio.sleep(20.0)
+    assert world.violations == []
+
+
 FAULTS = ["kill-node", "crash-target", "restart-target", "freeze", "store", "store-some", "leave"]
 
 
--- a/tests/request/test_reachability.py
+++ b/tests/request/test_reachability.py
@@ -121,3 +121,34 @@
     if not is_member:
         del watch.node.members[NAME]
     assert (NAME in reachability.list_suspects(watch)) is is_member
+
+
+async def test_another_node_at_the_address_of_a_lost_one(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Incident inc-c150 of Andinaflota: its answers were taken for those of the lost node.
+
+    What is under way to the address is meant for the node that has it now.
+    """
+    peer = Peer(is_frozen=True)
+    watch = build_watch(nursery, peer)
+    await send(watch)
+    await watch_for(watch, 1.5)
+    peer.is_frozen = False
+    peer.answer = b"HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n"
+    slot = await send(watch)
+    await watch_for(watch, 1.5)
+    assert NAME in watch.lost
+    assert not slot.scope.cancel_called
+
+
+@pytest.mark.parametrize(
+    ("path", "status"),
+    [
+        (f"{reachability.PING_PATH}me", 204),
+        (f"{reachability.PING_PATH}{NAME}", 421),
+    ],
+)
+def test_pings_name_the_node_that_is_meant(path: str, status: int) -> None:
+    node = test_origin.build_origin(0.0).node
+    assert reachability.answer(node, path) == status
