Answer operators from a running node: plan, status, explain, and metrics on a port of their own

Cause: on the platform the tool could only check a configuration; nothing said what an evacuation or other weights would move, and a node's beliefs could be read from its log only.

Change: the ready address serves a survey of the node and the explanation of a request; the tool reads them. What an evacuation or a split would do is foreseen by pure functions over the survey (process/outlook.py). The modules are loaded when somebody asks. A configuration that was refused shows in the survey and in the metrics.

Ruled out: a larger process.

--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -21,7 +21,7 @@
 from ebonyvalve.process import place as place_module
 from ebonyvalve.process.keyspace import grant, presence, records, steward, tenure
 from ebonyvalve.process.load import gate, heat
-from ebonyvalve.process.observation import output, tally
+from ebonyvalve.process.observation import output
 from ebonyvalve.request import (
     attempt,
     delivery,
@@ -38,7 +38,8 @@
 
 SETTINGS_VARIABLE = "EBONYVALVE_BOOT"
 LEVEL_VARIABLE = "EBONYVALVE_LOG"
-METRICS_PATH = "/metrics"
+METRICS_VARIABLE = "EBONYVALVE_METRICS_PORT"
+READY_PATH = "/readyz"
 # Two misses of one probe a second take a node out; requests may still come until then.
 LEAVE_S = 2.3
 # What is left of the grace for ending the process itself.
@@ -108,7 +109,11 @@
         nursery.start_soon(
             sockets.listen, place.reports_address, reports.build_reports(daemon.steward)
         )
-        nursery.start_soon(sockets.listen, place.ready_address, build_ready(daemon))
+        ready = build_ready(daemon)
+        nursery.start_soon(sockets.listen, place.ready_address, ready)
+        metrics = find_metrics_address(place, os.environ.get(METRICS_VARIABLE, ""))
+        if metrics is not None:
+            nursery.start_soon(listen_for_metrics, metrics, ready)
         nursery.start_soon(
             sockets.listen, place.peers_address, functools.partial(front.serve, daemon.peers)
         )
@@ -271,21 +276,47 @@
 
 
 def build_ready(daemon: Daemon) -> network.Serve:
-    """Return what tells the platform whether callers may come, and serves the metrics.
+    """Return what tells the platform whether callers may come, and operators what they ask.
 
     :param daemon: the daemon.
     """
 
     async def respond(request: http.Request) -> http.Reply:
-        if request.path == METRICS_PATH:
-            text = tally.render(daemon.node.counted, node_module.list_gauges(daemon.node))
-            return http.Reply(status=200, body=text, content_type=tally.CONTENT_TYPE)
+        if request.path != READY_PATH:
+            # Most processes are never asked, and memory is priced.
+            from ebonyvalve.platform import inquiry
+
+            return inquiry.answer(daemon.origin, request.path)
         is_fine = node_module.is_ready(daemon.node)
         return http.Reply(status=200 if is_fine else 503, body=b"{}")
 
     return functools.partial(http.serve, respond)
 
 
+def find_metrics_address(place: place_module.Place, port: str) -> identity.Address | None:
+    """Return where the metrics are served besides the ready address, if a port is set.
+
+    :param place: from the settings.
+    :param port: of the environment, or empty.
+    """
+    if not port.isdecimal():
+        return None
+    host, _ = network.split_address(place.ready_address)
+    return identity.Address(f"{host}:{port}")
+
+
+async def listen_for_metrics(address: identity.Address, serve: network.Serve) -> None:
+    """Serve the metrics on a port of their own; the node works without them.
+
+    :param address: where.
+    :param serve: answers.
+    """
+    try:
+        await sockets.listen(address, serve)
+    except OSError as exc:
+        decision.record(log, logging.ERROR, "metrics-failed", address=address, cause=str(exc))
+
+
 async def sweep(daemon: Daemon) -> None:
     """Retire silent connections, until cancelled.
 
--- /dev/null
+++ b/src/ebonyvalve/platform/inquiry.py
@@ -0,0 +1,43 @@
+"""Answers operators who ask a running node: metrics, status, explanation of a request."""
+
+import urllib.parse
+
+import msgspec
+
+from ebonyvalve.process import http, identity, survey
+from ebonyvalve.process import node as node_module
+from ebonyvalve.process.observation import tally
+from ebonyvalve.request import explanation, origin
+
+METRICS_PATH = "/metrics"
+STATUS_PATH = "/status"
+EXPLAIN_PATH = "/explain"
+
+
+def answer(entry: origin.Origin, target: str) -> http.Reply:
+    """Return the answer to an operator's question.
+
+    :param entry: the state.
+    :param target: path and query of the question.
+    """
+    path, _, query = target.partition("?")
+    if path == METRICS_PATH:
+        text = tally.render(entry.node.counted, node_module.list_gauges(entry.node))
+        return http.Reply(status=200, body=text, content_type=tally.CONTENT_TYPE)
+    if path == STATUS_PATH:
+        return http.Reply(status=200, body=survey.encode(survey.take(entry.node)))
+    if path == EXPLAIN_PATH:
+        return _explain(entry, query)
+    return http.Reply(status=404, body=b"{}")
+
+
+def _explain(entry: origin.Origin, query: str) -> http.Reply:
+    """Answer for a request of which ``host``, ``path`` and perhaps ``key`` are given."""
+    asked = dict(urllib.parse.parse_qsl(query))
+    key = asked.get("key", "")
+    is_key_fine = not key or (key.isdecimal() and int(key) <= identity.LAST_SLOT)
+    if not asked.get("host") or not asked.get("path") or not is_key_fine:
+        return http.Reply(status=400, body=b"{}")
+    slot = int(key) if key else None
+    lines = explanation.explain(entry, asked["host"].lower(), asked["path"], slot)
+    return http.Reply(status=200, body=msgspec.json.encode(lines))
--- a/src/ebonyvalve/platform/operator.py
+++ b/src/ebonyvalve/platform/operator.py
@@ -80,6 +80,7 @@
 def _apply_config(node: node_module.Node, current: traffic.Current, row: table.Row) -> None:
     decoded = configuration.decode(row.value)
     if isinstance(decoded, list):
+        node.refused = tuple(decoded)
         decision.record(log, logging.ERROR, "configuration-refused", reasons="; ".join(decoded))
         return
     if node.config is not None and decoded.version <= node.config:
--- a/src/ebonyvalve/platform/tool.py
+++ b/src/ebonyvalve/platform/tool.py
@@ -1,18 +1,28 @@
-"""The operators' command line for configurations of the platform.
+"""The operators' command line on the platform.
 
-``python3 -m ebonyvalve.platform.tool check FILE`` needs no network and no running node.
+``check`` needs no network and no running node; ``plan``, ``status`` and ``explain`` ask a node at
+its ready address.
 """
 
+import collections.abc
 import pathlib
 import sys
+import urllib.parse
 
 import defopt
+import msgspec
+from returns import result
+import trio
 
-from ebonyvalve.platform import configuration
+from ebonyvalve.platform import configuration, sockets
+from ebonyvalve.process import http, identity, member, outlook, survey
 from ebonyvalve.version import traffic
 
 DONE = 0
 REFUSED = 1
+UNANSWERED = 2
+# An operator waits for a node under load, but not for one that is gone.
+ASK_TIMEOUT_S = 5.0
 
 
 def check(file: pathlib.Path, *, against: pathlib.Path | None = None) -> int:
@@ -54,9 +64,162 @@
         return [f"{file}: {exc.strerror}"]
 
 
+def plan(
+    node: str,
+    *,
+    evacuate: str | None = None,
+    file: pathlib.Path | None = None,
+    against: pathlib.Path | None = None,
+) -> int:
+    """Say which keys and how much load a change would move, and every reason against it.
+
+    :param node: ``IP:port`` of a node's ready address.
+    :param evacuate: a zone whose targets would get nothing.
+    :param file: a configuration that would replace the one in force.
+    :param against: the configuration in force; needed with ``file``.
+    """
+    if evacuate is None and (file is None or against is None):
+        print("give a zone to evacuate, or a file and the one that it is against", file=sys.stderr)
+        return UNANSWERED
+    seen = ask_survey(node)
+    if seen is None:
+        return UNANSWERED
+    changes: list[str] = []
+    reasons: list[str] = []
+    if evacuate is not None:
+        found = outlook.foresee_evacuation(seen, identity.ZoneId(evacuate))
+        changes, reasons = found.changes, found.reasons
+    if file is not None and against is not None:
+        after, before = read(file), read(against)
+        if isinstance(after, traffic.Traffic) and isinstance(before, traffic.Traffic):
+            found = outlook.foresee_split(seen, before, after)
+            changes, reasons = changes + found.changes, reasons + found.reasons
+        for unread in (after, before):
+            if isinstance(unread, list):
+                reasons = reasons + unread
+    for line in changes:
+        print(f"changes {line}")
+    for reason in reasons:
+        print(f"refused {reason}")
+    return REFUSED if reasons else DONE
+
+
+def status(node: str) -> int:
+    """Print what a node believes: configuration, targets and their loads, ranges of keys.
+
+    :param node: ``IP:port`` of a node's ready address.
+    """
+    seen = ask_survey(node)
+    if seen is None:
+        return UNANSWERED
+    for line in describe(seen):
+        print(line)
+    return DONE
+
+
+def explain(node: str, host: str, path: str, *, key: int | None = None) -> int:
+    """Print what a node would do with a request now, and why.
+
+    :param node: ``IP:port`` of a node's ready address.
+    :param host: the request's host.
+    :param path: its path.
+    :param key: its key, if it has one.
+    """
+    asked = {"host": host, "path": path}
+    if key is not None:
+        asked["key"] = str(key)
+    body = ask(node, f"/explain?{urllib.parse.urlencode(asked)}")
+    if body is None:
+        return UNANSWERED
+    for line in msgspec.json.decode(body, type=list[str]):
+        print(line)
+    return DONE
+
+
+def describe(seen: survey.Survey) -> collections.abc.Iterator[str]:
+    """Return what a node believes, a line for each thing.
+
+    :param seen: from the node.
+    """
+    yield f"node {seen.node} in {seen.zone}, service {seen.service}"
+    yield "configuration " + ("none yet" if seen.config is None else str(seen.config))
+    for reason in seen.refused:
+        yield f"  a newer one was refused: {reason}"
+    for zone in seen.evacuated:
+        yield f"evacuated {zone}"
+    for peer in seen.peers:
+        yield _describe_peer(seen, peer)
+    for service, book in sorted(seen.ledgers.items()):
+        yield f"ledger of {service}, version {seen.versions[service]}"
+        for span in book.spans:
+            moving = f", moving to {span.heir_node}" if span.heir else ""
+            holder = f"{span.holder} beside {span.node}" if span.holder else "nobody"
+            yield f"  {span.first} to {span.last}: {holder}, fence {span.fence}{moving}"
+    for name, value in sorted(seen.gauges.items()):
+        yield f"{name} {value:g}"
+
+
+def _describe_peer(seen: survey.Survey, peer: survey.Peer) -> str:
+    known = peer.member
+    line = f"target {known.lifetime} of {known.service} beside {known.node} in {known.zone}: "
+    line += known.state.value
+    if known.state is member.TargetState.READY and known.zone in seen.evacuated:
+        line += ", evacuated"
+    if peer.load_age_s is None:
+        return f"{line}, load not told yet"
+    line += f", load {peer.offered:.2f} told {peer.load_age_s:.1f} s ago"
+    return f"{line}, passed by for {peer.avoided_s:.1f} s" if peer.avoided_s else line
+
+
+def ask_survey(node: str) -> survey.Survey | None:
+    """Return what a node believes, or ``None``, after saying why, if it does not tell.
+
+    :param node: its ready address.
+    """
+    body = ask(node, "/status")
+    if body is None:
+        return None
+    try:
+        return survey.decode(body)
+    except msgspec.DecodeError as exc:
+        print(f"{node}: its answer can't be read: {exc}", file=sys.stderr)
+        return None
+
+
+def ask(node: str, path: str) -> bytes | None:
+    """Return a node's answer, or ``None``, after saying why, if there is none.
+
+    :param node: its ready address.
+    :param path: what is asked.
+    """
+    host, _, port = node.rpartition(":")
+    if not host or not port.isdecimal():
+        print(f"{node}: is not IP:port", file=sys.stderr)
+        return None
+
+    async def fetch() -> result.Result[http.Reply, http.HttpFailure]:
+        request = http.Request(method="GET", path=path)
+        return await http.fetch(sockets.connect, node, request, timeout_s=ASK_TIMEOUT_S)
+
+    sent = trio.run(fetch)
+    if not isinstance(sent, result.Success):
+        print(f"{node}: {sent.failure().value}", file=sys.stderr)
+        return None
+    reply: http.Reply = sent.unwrap()
+    if reply.status != 200:
+        print(f"{node}: answers {reply.status}", file=sys.stderr)
+        return None
+    return reply.body
+
+
 def main() -> None:
     """Run the command line and exit with its status."""
-    sys.exit(defopt.run([check], argparse_kwargs={"prog": "ebonyvalve.platform.tool"}))
+    sys.exit(
+        defopt.run(
+            [check, plan, status, explain],
+            argparse_kwargs={"prog": "ebonyvalve.platform.tool"},
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/src/ebonyvalve/process/node.py
+++ b/src/ebonyvalve/process/node.py
@@ -72,6 +72,8 @@
     heat: heat.Heat
     counted: tally.Tally = dataclasses.field(default_factory=tally.Tally)
     config: identity.ConfigVersion | None = None
+    # Why the newest configuration was not applied; empty if it was.
+    refused: tuple[str, ...] = ()
     policies: dict[identity.ServiceId, policy.ServicePolicy] = dataclasses.field(
         default_factory=dict
     )
@@ -239,6 +241,7 @@
         "work_seconds": measured.work_s,
         "offered_load": measured.offered,
         "config_version": node.config or 0,
+        "config_refused": float(bool(node.refused)),
         "members": len(node.members),
         "target_open": float(is_open(node)),
         "granted_ranges": len(node.grantor.granted),
@@ -355,7 +358,7 @@
     :param version: its version, higher than the present one.
     :param policies: its services.
     """
-    node.config, node.policies = version, policies
+    node.config, node.policies, node.refused = version, policies, ()
     own = find_policy(node, node.place.service)
     if own is not None:
         node.gate.cold_rate = own.cold_rate
--- /dev/null
+++ b/src/ebonyvalve/process/outlook.py
@@ -0,0 +1,146 @@
+"""What an evacuation or other weights would do to keys and targets, said before it happens."""
+
+import collections
+import collections.abc
+import dataclasses
+
+from ebonyvalve.process import identity, member, survey
+from ebonyvalve.process.keyspace import ledger
+from ebonyvalve.version import traffic
+
+# Targets that are offered more than this much of what they can do refuse some of it.
+FULL = 1.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Outlook:
+    """Lines about what would change, and reasons not to do it."""
+
+    changes: list[str]
+    reasons: list[str]
+
+
+def foresee_evacuation(seen: survey.Survey, zone: identity.ZoneId) -> Outlook:
+    """Return what an evacuation would do.
+
+    :param seen: what a node believes now.
+    :param zone: the zone whose targets would get nothing.
+    """
+    outlook = Outlook(changes=[], reasons=[])
+    if all(peer.member.zone != zone for peer in seen.peers):
+        outlook.reasons.append(f"zone {zone}: no target is known there")
+    if zone in seen.evacuated:
+        outlook.reasons.append(f"zone {zone}: is evacuated already")
+    open_ = [
+        peer
+        for peer in seen.peers
+        if peer.member.state is member.TargetState.READY and peer.member.zone not in seen.evacuated
+    ]
+    for service in sorted({peer.member.service for peer in open_}):
+        present = [peer for peer in open_ if peer.member.service == service]
+        leaving = [peer for peer in present if peer.member.zone == zone]
+        if leaving:
+            staying = [peer for peer in present if peer.member.zone != zone]
+            _foresee_service(seen, service, leaving, staying, outlook)
+    return outlook
+
+
+def foresee_split(seen: survey.Survey, before: traffic.Traffic, after: traffic.Traffic) -> Outlook:
+    """Return what other weights of services would do to their targets.
+
+    :param seen: what a node believes now.
+    :param before: the configuration in force.
+    :param after: the one that would replace it.
+    """
+    outlook = Outlook(changes=[], reasons=[])
+    known = {(route.host, route.prefix): route for route in before.routes}
+    for route in after.routes:
+        old = known.get((route.host, route.prefix))
+        was = {} if old is None else traffic.read_parts(old)
+        will = traffic.read_parts(route)
+        for service in sorted(was.keys() | will.keys()):
+            change = will.get(service, 0.0) - was.get(service, 0.0)
+            if not change:
+                continue
+            count = sum(
+                peer.member.service == service
+                and peer.member.state is member.TargetState.READY
+                and peer.member.zone not in seen.evacuated
+                for peer in seen.peers
+            )
+            place = f"{route.host}{route.prefix}"
+            if count:
+                outlook.changes.append(
+                    f"service {service}: {100 * change:+.0f}% of the requests of {place}, "
+                    f"{100 * change / count:+.1f}% for each of its {count} targets"
+                )
+            elif change > 0:
+                outlook.reasons.append(
+                    f"service {service}: has no target for its part of the requests of {place}"
+                )
+    return outlook
+
+
+def _foresee_service(
+    seen: survey.Survey,
+    service: identity.ServiceId,
+    leaving: list[survey.Peer],
+    staying: list[survey.Peer],
+    outlook: Outlook,
+) -> None:
+    kind = "keys" if service in seen.keyed else "requests"
+    slots = sum(peer.member.slots for peer in staying)
+    if not slots:
+        outlook.reasons.append(f"service {service}: no target would be left for its {kind}")
+        return
+    offered = sum(peer.offered * peer.member.slots for peer in (*leaving, *staying)) / slots
+    outlook.changes.append(
+        f"service {service}: {len(leaving)} of {len(leaving) + len(staying)} targets get nothing; "
+        f"the others are offered {offered:.2f} of what they can do"
+    )
+    if offered > FULL:
+        outlook.reasons.append(
+            f"service {service}: that is more than its other targets can do ({offered:.2f})"
+        )
+    if service in seen.ledgers and service in seen.keyed:
+        outlook.changes.extend(_foresee_keys(seen.ledgers[service], service, leaving, staying))
+        return
+    # Requests without keys go where there is room, in proportion to slots.
+    moved = sum(peer.offered * peer.member.slots for peer in leaving) / slots
+    for peer in staying:
+        outlook.changes.append(
+            f"target {peer.member.lifetime} ({peer.member.node}): load {peer.offered:.2f} -> "
+            f"{peer.offered + moved:.2f}"
+        )
+
+
+def _foresee_keys(
+    book: ledger.Ledger,
+    service: identity.ServiceId,
+    leaving: list[survey.Peer],
+    staying: list[survey.Peer],
+) -> collections.abc.Iterator[str]:
+    candidates = [
+        ledger.Candidate(
+            node=peer.member.node, lifetime=peer.member.lifetime, weight=peer.member.slots
+        )
+        for peer in staying
+    ]
+    after = book
+    for peer in leaving:
+        after = ledger.order_exit(after, peer.member.lifetime, candidates)
+    gained: collections.Counter[str] = collections.Counter()
+    for span in after.spans:
+        if span.heir and ledger.find(book, span.first).heir != span.heir:
+            gained[span.heir] += span.last - span.first + 1
+            yield (
+                f"service {service}: keys {span.first} to {span.last} from {span.node} "
+                f"to {span.heir_node}"
+            )
+    for peer in staying:
+        held = ledger.list_held(book, peer.member.lifetime)
+        count = sum(span.last - span.first + 1 for span in held)
+        yield (
+            f"target {peer.member.lifetime} ({peer.member.node}): {count} keys -> "
+            f"{count + gained[peer.member.lifetime]}"
+        )
--- /dev/null
+++ b/src/ebonyvalve/process/survey.py
@@ -0,0 +1,91 @@
+"""What one node believes at one moment, for operators who ask it."""
+
+import msgspec
+
+from ebonyvalve.process import identity, member
+from ebonyvalve.process import node as node_module
+from ebonyvalve.process.keyspace import ledger
+
+
+class Peer(msgspec.Struct, kw_only=True, frozen=True):
+    """A target as the node knows it.
+
+    ``offered`` is the work that arrives for it over the work it can do, ``load_age_s`` how old that
+    is in seconds; it is ``None`` if no answer has told it. ``avoided_s`` is for how much longer
+    requests pass it by.
+    """
+
+    member: member.Member
+    offered: float = 0.0
+    load_age_s: float | None = None
+    avoided_s: float = 0.0
+
+
+class Survey(msgspec.Struct, kw_only=True, frozen=True):
+    """A node's beliefs. ``versions`` are those of the rows of ``ledgers``.
+
+    ``refused`` holds the reasons against the newest configuration that was not applied.
+    """
+
+    node: identity.NodeId
+    zone: identity.ZoneId
+    service: identity.ServiceId
+    config: int | None
+    refused: tuple[str, ...]
+    evacuated: tuple[identity.ZoneId, ...]
+    keyed: tuple[identity.ServiceId, ...]
+    peers: tuple[Peer, ...]
+    ledgers: dict[str, ledger.Ledger]
+    versions: dict[str, int]
+    gauges: dict[str, float]
+
+
+def take(node: node_module.Node) -> Survey:
+    """Return what a node believes now.
+
+    :param node: the node.
+    """
+    return Survey(
+        node=node.place.node,
+        zone=node.place.zone,
+        service=node.place.service,
+        config=node.config,
+        refused=node.refused,
+        evacuated=tuple(sorted(node.evacuated)),
+        keyed=tuple(sorted(name for name, known in node.policies.items() if known.is_keyed)),
+        peers=tuple(_describe(node, node.members[name]) for name in sorted(node.members)),
+        ledgers={name: book.ledger for name, book in node.books.items()},
+        versions={name: book.version for name, book in node.books.items()},
+        gauges=node_module.list_gauges(node),
+    )
+
+
+def _describe(node: node_module.Node, known: member.Member) -> Peer:
+    if known.node == node.place.node:
+        return Peer(member=known, offered=node_module.measure(node).offered, load_age_s=0.0)
+    now = node.now()
+    view = node_module.read_view(node, known.node)
+    age_s = now - view.reported_at
+    return Peer(
+        member=known,
+        offered=view.offered,
+        load_age_s=None if age_s == float("inf") else age_s,
+        avoided_s=max(0.0, view.avoid_until - now),
+    )
+
+
+def encode(survey: Survey) -> bytes:
+    """Return a survey as bytes.
+
+    :param survey: the survey.
+    """
+    return msgspec.json.encode(survey)
+
+
+def decode(body: bytes) -> Survey:
+    """Return the survey that a node has sent.
+
+    :param body: the bytes.
+    :raises msgspec.DecodeError: if they are no survey.
+    """
+    return msgspec.json.decode(body, type=Survey)
--- /dev/null
+++ b/src/ebonyvalve/request/explanation.py
@@ -0,0 +1,93 @@
+"""What would become of a request now, and why, for operators who ask a node."""
+
+import collections.abc
+
+from ebonyvalve.process import identity, member
+from ebonyvalve.process import node as node_module
+from ebonyvalve.process.keyspace import ledger
+from ebonyvalve.request import origin
+from ebonyvalve.version import traffic
+
+
+def explain(entry: origin.Origin, host: str, path: str, slot: int | None) -> list[str]:
+    """Return the decisions about a request in their order, a line each.
+
+    :param entry: the state.
+    :param host: the request's host.
+    :param path: its path.
+    :param slot: its key, or ``None`` if it has none.
+    """
+    config = entry.current.traffic
+    if config is None:
+        return ["no configuration has been read yet: 503"]
+    route = traffic.find_route(config, host, path)
+    if route is None:
+        return [f"no route of configuration {config.version} has this host and path: 404"]
+    lines = [
+        f"route {route.name!r} of configuration {config.version}: prefix {route.prefix}, "
+        f"{route.repeat.value}, at most {route.attempts} targets, time-out {route.timeout_s:g} s, "
+        f"priority {route.priority}"
+    ]
+    for service, part in traffic.read_parts(route).items():
+        lines.append(f"service {service}: {100 * part:.0f}% of the requests")
+        if not config.services[service].is_keyed:
+            lines.extend(_explain_choice(entry.node, service))
+        elif slot is None:
+            lines.append("  its requests need a key: 400")
+        else:
+            lines.extend(_explain_owner(entry.node, service, slot))
+    lines.append(f"repeats that this node may make now: {int(entry.node.budget.level)}")
+    return lines
+
+
+def _explain_owner(
+    node: node_module.Node, service: identity.ServiceId, slot: int
+) -> collections.abc.Iterator[str]:
+    book = node.books.get(service)
+    if book is None:
+        yield "  its ledger is not known: 503"
+        return
+    span = ledger.find(book.ledger, slot)
+    yield (
+        f"  key {slot} is in {span.first} to {span.last} of ledger {book.version}, "
+        f"fence {span.fence}"
+    )
+    if not span.holder:
+        yield "  the range has no holder: 503"
+        return
+    yield f"  held by target {span.holder} beside {span.node}"
+    if span.heir:
+        yield f"  it is moving to target {span.heir} beside {span.heir_node}"
+    known = node.members.get(identity.NodeId(span.node))
+    if known is None:
+        yield f"  {span.node} is not announced: 503 until its lease has ended"
+    else:
+        yield from _explain_target(node, known)
+
+
+def _explain_choice(
+    node: node_module.Node, service: identity.ServiceId
+) -> collections.abc.Iterator[str]:
+    known = [one for one in node.members.values() if one.service == service]
+    if not known:
+        yield "  no target is announced: 503"
+    for one in sorted(known, key=lambda one: one.node):
+        yield from _explain_target(node, one)
+
+
+def _explain_target(node: node_module.Node, known: member.Member) -> collections.abc.Iterator[str]:
+    now = node.now()
+    view = node_module.read_view(node, known.node)
+    says = f"  {known.node} in {known.zone}: target {known.lifetime} is {known.state.value}"
+    if known.zone in node.evacuated:
+        says += ", its zone is evacuated"
+    if now < view.avoid_until:
+        says += f", passed by for {view.avoid_until - now:.2f} s after {view.failures} failures"
+    if now < view.full_until:
+        says += f", full for {view.full_until - now:.2f} s"
+    if known.node == node.place.node:
+        yield f"{says}, beside this node, load {node_module.measure(node).offered:.2f}"
+        return
+    age_s = now - view.reported_at
+    told = f"load {view.offered:.2f} told {age_s:.1f} s ago" if age_s < 1e9 else "load not told yet"
+    yield f"{says}, {told}"
--- a/src/ebonyvalve/version/traffic.py
+++ b/src/ebonyvalve/version/traffic.py
@@ -213,6 +213,18 @@
         yield f"priority {before.priority} -> {after.priority}"
 
 
-def _describe_shares(route: Route) -> str:
+def read_parts(route: Route) -> dict[identity.ServiceId, float]:
+    """Return the part of a route's requests that each service gets, from 0 to 1.
+
+    :param route: the route.
+    """
     total = sum(share.weight for share in route.shares)
-    return ", ".join(f"{share.service} {100 * share.weight / total:.0f}%" for share in route.shares)
+    parts: dict[identity.ServiceId, float] = {}
+    for share in route.shares:
+        parts[share.service] = parts.get(share.service, 0.0) + share.weight / total
+    return parts
+
+
+def _describe_shares(route: Route) -> str:
+    parts = read_parts(route)
+    return ", ".join(f"{service} {100 * part:.0f}%" for service, part in parts.items())
--- a/tests/platform/test_tool.py
+++ b/tests/platform/test_tool.py
@@ -1,10 +1,13 @@
 """Checking configurations of the platform before they are stored."""
 
+import functools
 import pathlib
 
 import pytest
+import trio
 
 from ebonyvalve.platform import tool
+from ebonyvalve.process import identity
 from tests.platform import mesh
 
 
@@ -67,3 +70,41 @@
     """A mistyped name is not a broken configuration."""
     assert tool.check(tmp_path / "none.json") == tool.REFUSED
     assert "No such file" in capsys.readouterr().out
+
+
+async def test_running_node_is_read(capsys: pytest.CaptureFixture[str]) -> None:
+    """Status, plan and explain ask the ready address of a daemon."""
+    async with mesh.open_mesh([mesh.KEYED, mesh.KEYED, mesh.ORDERS]) as world:
+        node = world.ready[0]
+
+        async def has_keys() -> bool:
+            book = world.daemons[0].node.books.get(identity.ServiceId(mesh.KEYED))
+            return book is not None and len(world.daemons[0].node.members) == 3
+
+        await mesh.poll(has_keys)
+        run = trio.to_thread.run_sync
+        assert await run(tool.status, node) == tool.DONE
+        out = capsys.readouterr().out
+        assert "node n0 in z1, service lookup" in out
+        assert "ledger of lookup" in out
+        assert "target i-2" in out
+        explained = await run(functools.partial(tool.explain, node, mesh.HOST, "/lookup/1", key=9))
+        assert explained == tool.DONE
+        assert "key 9 is in" in capsys.readouterr().out
+        planned = await run(functools.partial(tool.plan, node, evacuate="z1"))
+        assert planned == tool.REFUSED
+        assert "refused service lookup: no target would be left" in capsys.readouterr().out
+
+
+def test_node_that_does_not_answer_is_named(capsys: pytest.CaptureFixture[str]) -> None:
+    """Not a traceback."""
+    (port,) = mesh.find_ports(1)
+    assert tool.status(f"127.0.0.1:{port}") == tool.UNANSWERED
+    assert "unreachable" in capsys.readouterr().err
+    assert tool.status("nonsense") == tool.UNANSWERED
+    assert "is not IP:port" in capsys.readouterr().err
+
+
+def test_plan_needs_something_to_plan(capsys: pytest.CaptureFixture[str]) -> None:
+    assert tool.plan("127.0.0.1:1") == tool.UNANSWERED
+    assert "zone to evacuate" in capsys.readouterr().err
--- /dev/null
+++ b/tests/process/test_outlook.py
@@ -0,0 +1,103 @@
+"""What operators are told before a zone is evacuated or weights change."""
+
+import collections.abc
+
+import pytest
+
+from ebonyvalve.platform import configuration
+from ebonyvalve.process import identity, member, outlook, survey
+from ebonyvalve.process.keyspace import ledger
+from ebonyvalve.version import traffic
+from tests.platform import mesh
+
+SERVICE = identity.ServiceId("lookup")
+
+
+def build_peer(name: str, zone: str, *, offered: float = 0.3, slots: int = 4) -> survey.Peer:
+    return survey.Peer(
+        member=member.Member(
+            node=identity.NodeId(name),
+            address=identity.Address(f"{name}:1"),
+            zone=identity.ZoneId(zone),
+            service=SERVICE,
+            lifetime=identity.Lifetime(f"i-{name}"),
+            slots=slots,
+            state=member.TargetState.READY,
+        ),
+        offered=offered,
+        load_age_s=0.1,
+    )
+
+
+def build_survey(peers: collections.abc.Sequence[survey.Peer], *, is_keyed: bool) -> survey.Survey:
+    candidates = [
+        ledger.Candidate(node=one.member.node, lifetime=one.member.lifetime, weight=1)
+        for one in peers
+    ]
+    return survey.Survey(
+        node=identity.NodeId("a"),
+        zone=identity.ZoneId("z1"),
+        service=SERVICE,
+        config=3,
+        refused=(),
+        evacuated=(),
+        keyed=(SERVICE,) if is_keyed else (),
+        peers=tuple(peers),
+        ledgers={SERVICE: ledger.create(candidates)} if is_keyed else {},
+        versions={SERVICE: 7} if is_keyed else {},
+        gauges={},
+    )
+
+
+PEERS = [build_peer("a", "z1"), build_peer("b", "z1"), build_peer("c", "z2")]
+
+
+def test_keys_that_would_move_are_named() -> None:
+    """Each range and its next holder; the sum is all that the zone holds."""
+    found = outlook.foresee_evacuation(build_survey(PEERS, is_keyed=True), identity.ZoneId("z2"))
+    assert found.reasons == []
+    moves = [line for line in found.changes if " keys " in line and " from c " in line]
+    assert moves
+    gains = [line for line in found.changes if line.startswith("target")]
+    assert sum(int(line.rpartition("-> ")[2]) for line in gains) == identity.LAST_SLOT + 1
+
+
+def test_load_that_would_move_is_named() -> None:
+    """Targets without keys share the requests by their slots."""
+    found = outlook.foresee_evacuation(build_survey(PEERS, is_keyed=False), identity.ZoneId("z2"))
+    assert "target i-a (a): load 0.30 -> 0.45" in found.changes
+    assert found.reasons == []
+
+
+@pytest.mark.parametrize(
+    ("peers", "zone", "reason"),
+    [
+        (PEERS, "z9", "no target is known there"),
+        (PEERS[:2], "z1", "no target would be left"),
+        ([*PEERS[:2], build_peer("c", "z2", offered=0.9)], "z1", "more than its other targets"),
+    ],
+)
+def test_reasons_against_an_evacuation(peers: list[survey.Peer], zone: str, reason: str) -> None:
+    """A zone whose evacuation would leave a service without room is refused beforehand."""
+    seen = build_survey(peers, is_keyed=True)
+    found = outlook.foresee_evacuation(seen, identity.ZoneId(zone))
+    assert any(reason in line for line in found.reasons), found
+
+
+def read_traffic(version: int, shares: dict[str, float]) -> traffic.Traffic:
+    split = [{"backend": name, "weight": weight} for name, weight in shares.items()]
+    found = configuration.decode(mesh.build_config(version, split=split))
+    assert isinstance(found, traffic.Traffic)
+    return found
+
+
+def test_other_weights() -> None:
+    """Each target's part of what is added or taken; a service without targets is refused."""
+    before = read_traffic(1, {"lookup": 1.0})
+    after = read_traffic(2, {"lookup": 0.7, "orders": 0.3})
+    found = outlook.foresee_split(build_survey(PEERS, is_keyed=False), before, after)
+    assert any(
+        "lookup: -30%" in line and "-10.0% for each of its 3" in line for line in found.changes
+    )
+    assert all("service orders: has no target" in line for line in found.reasons)
+    assert found.reasons
