--- a/tests/platform/test_tool.py
+++ b/tests/platform/test_tool.py
@@ -8,7 +8,9 @@
 
 from ebonyvalve.platform import tool
 from ebonyvalve.process import identity
+from ebonyvalve.process import node as node_module
 from tests.platform import mesh
+from tests.request import test_origin
 
 
 def write(folder: pathlib.Path, name: str, body: bytes) -> pathlib.Path:
@@ -108,3 +110,10 @@
 def test_plan_needs_something_to_plan(capsys: pytest.CaptureFixture[str]) -> None:
     assert tool.plan("127.0.0.1:1") == tool.UNANSWERED
     assert "zone to evacuate" in capsys.readouterr().err
+
+
+async def test_page_lists_every_gauge() -> None:
+    """Guards against a gauge without documentation."""
+    page = (pathlib.Path(__file__).parents[2] / "docs" / "OPERATIONS.md").read_text()
+    gauges = node_module.list_gauges(test_origin.build_origin(0.0).node)
+    assert [name for name in gauges if f"| `{name}` |" not in page] == []
