Recognise requests that crash targets, and see a crash at its first broken request

Cause: on the platform's path a request that crashes each target that runs it could be sent again without end: the quarantine belongs to the product's own interface. And a crash showed only when the next request was refused a connection.

Change: a request that the target breaks off lets the node look at once whether the target is still there (two refusals 100 ms apart). If not, what broke lately are the suspects of the crash; the service's other nodes are told. What ran in three crashes at different times within a minute is refused at the gate, as not run. Requests pay nothing while there are no suspects. Refused connections no longer hold a request for the second look.

Ruled out: two crashes (a popular request runs somewhere at any moment); counting crashes of one moment separately (a fault that ends several targets would condemn what they all ran).

--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -24,6 +24,7 @@
 from ebonyvalve.process.observation import output
 from ebonyvalve.request import (
     attempt,
+    crash,
     delivery,
     exchange,
     front,
@@ -102,6 +103,7 @@
                 operator.follow, daemon.node, daemon.origin.current, daemon.steward.store
             ),
             functools.partial(delivery.run_queue, daemon.origin.delivery),
+            functools.partial(crash.run, daemon.origin.delivery.crashes),
             functools.partial(sweep, daemon),
             functools.partial(timer.run, daemon.timer),
         ):
@@ -154,10 +156,12 @@
         on_return=functools.partial(node_module.look_again, node),
     )
     keeper = records.Steward(node=node, store=store.open_store(client), connect=sockets.connect)
+    targets = pool.Pool(connect=sockets.connect, now=now)
     local = delivery.Delivery(
         node=node,
-        pool=pool.Pool(connect=sockets.connect, now=now),
+        pool=targets,
         dialect=dialect.open_dialect(),
+        crashes=crash.Watch(node=node, pool=targets, connect=sockets.connect),
     )
     entry = origin.Origin(
         node=node,
@@ -223,8 +227,8 @@
     """
     if call.path.startswith(reachability.PING_PATH):
         return await acknowledge(caller, reachability.answer(entry.node, call.path))
-    if call.path.startswith(records.LEDGER_PATH):
-        return await take_ledger(keeper, call, caller)
+    if call.path.startswith(records.LEDGER_PATH) or call.path == crash.CRASH_PATH:
+        return await take_push(entry, keeper, call, caller)
     relay.take_seen(entry.node, call.headers)
     if not relay.undress_hop(call, call.headers, entry.node.now()):
         refusal = outcome.refuse(outcome.Reason.BAD_REQUEST)
@@ -234,12 +238,13 @@
     return await origin.serve_hop(entry, call, caller)
 
 
-async def take_ledger(
-    keeper: records.Steward, call: exchange.Call, caller: exchange.Caller
+async def take_push(
+    entry: origin.Origin, keeper: records.Steward, call: exchange.Call, caller: exchange.Caller
 ) -> outcome.Outcome:
-    """Take a ledger that another node sends.
+    """Take what another node tells: a ledger, or what its target was running when it crashed.
 
-    :param keeper: the state.
+    :param entry: the state.
+    :param keeper: takes ledgers.
     :param call: the message.
     :param caller: the other node.
     """
@@ -251,7 +256,11 @@
         data = chunk.unwrap()
         body += data
         call.is_whole = not data
-    return await acknowledge(caller, 204 if records.take_push(keeper, call.path, body) else 400)
+    if call.path == crash.CRASH_PATH:
+        is_taken = crash.take_push(entry.delivery.crashes, body)
+    else:
+        is_taken = records.take_push(keeper, call.path, body)
+    return await acknowledge(caller, 204 if is_taken else 400)
 
 
 async def acknowledge(caller: exchange.Caller, status: int) -> outcome.Outcome:
--- /dev/null
+++ b/src/ebonyvalve/request/crash.py
@@ -0,0 +1,168 @@
+"""Finds out that the target beside this node has crashed, and what it was running then."""
+
+import collections
+import dataclasses
+import hashlib
+import logging
+
+import msgspec
+from returns import result
+import trio
+
+from ebonyvalve.connection import pool
+from ebonyvalve.process import decision, http, identity, network
+from ebonyvalve.process import node as node_module
+from ebonyvalve.process.load import suspicion
+from ebonyvalve.request import exchange
+
+log = logging.getLogger(__name__)
+
+CRASH_PATH = "/ebonyvalve/crash"
+# A process that has ended refuses connections at once and for as long as it takes to start; a full
+# one may refuse a single connection.
+CONFIRM_S = 0.1
+# The connections of a crashed target break together; the crash is confirmed soon after.
+BROKEN_MEMORY_S = 1.0
+PUSH_TIMEOUT_S = 0.5
+DIGEST_BYTES = 16
+
+
+@dataclasses.dataclass(kw_only=True)
+class Watch:
+    """What points to a crash. ``broken`` are the requests whose connections broke lately."""
+
+    node: node_module.Node
+    pool: pool.Pool
+    connect: network.Connect
+    suspected: suspicion.Suspicion = dataclasses.field(default_factory=suspicion.Suspicion)
+    broken: collections.deque[tuple[float, exchange.Call]] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    doubt: trio.Event = dataclasses.field(default_factory=trio.Event)
+
+
+def note_refused(watch: Watch) -> None:
+    """Note that the target has refused a connection.
+
+    :param watch: the state.
+    """
+    watch.doubt.set()
+
+
+def note_broken(watch: Watch, call: exchange.Call) -> None:
+    """Note that the target broke off a request.
+
+    :param watch: the state.
+    :param call: the request.
+    """
+    now = watch.node.now()
+    watch.broken.append((now, call))
+    _forget_broken(watch, now)
+    watch.doubt.set()
+
+
+def is_guilty(watch: Watch, call: exchange.Call) -> bool:
+    """Return whether a request has crashed so many targets that it must not run.
+
+    :param watch: the state.
+    :param call: the request.
+    """
+    # Hardly ever is there anything to compare with, so that requests pay nothing.
+    if not watch.suspected.crashes:
+        return False
+    return suspicion.is_guilty(watch.suspected, fingerprint(call), watch.node.now())
+
+
+def fingerprint(call: exchange.Call) -> identity.Fingerprint:
+    """Return what stays the same when a caller sends a request again.
+
+    :param call: the request; only the beginning of its body counts.
+    """
+    rules = call.rules
+    slot = "" if rules is None or rules.slot is None else str(rules.slot)
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for field in (call.service, slot, call.method, call.path, str(call.length)):
+        raw = field.encode("utf-8", "surrogateescape")
+        # Each field follows its length, so that no two lists of fields give the same input.
+        digest.update(len(raw).to_bytes(4, "big") + raw)
+    digest.update(call.prefix)
+    return identity.Fingerprint(digest.hexdigest())
+
+
+async def run(watch: Watch) -> None:
+    """Look whether the target is there whenever that is in doubt, until cancelled.
+
+    :param watch: the state.
+    """
+    while True:
+        await watch.doubt.wait()
+        watch.doubt = trio.Event()
+        target = watch.node.target
+        if target is None or target.is_dead:
+            continue
+        is_refused = await _is_refused(watch)
+        # Also the least time between two looks at a target that breaks connections and lives.
+        await node_module.pause(watch.node, CONFIRM_S)
+        if not is_refused or not await _is_refused(watch):
+            continue
+        present = watch.node.target
+        if present is not None and present.lifetime == target.lifetime:
+            node_module.set_gone(watch.node, "refuses connections", is_dead=True)
+            await _accuse(watch)
+
+
+async def _is_refused(watch: Watch) -> bool:
+    address = watch.node.place.target_address
+    opened = await pool.open_new(watch.pool, address)
+    if isinstance(opened, result.Success):
+        await pool.discard(watch.pool, address, opened.unwrap())
+        return False
+    return opened.failure() is pool.PoolFailure.REFUSED
+
+
+def _forget_broken(watch: Watch, now: float) -> None:
+    while watch.broken and watch.broken[0][0] < now - BROKEN_MEMORY_S:
+        watch.broken.popleft()
+
+
+async def _accuse(watch: Watch) -> None:
+    """Note what the target was running, and tell the service's other nodes."""
+    node = watch.node
+    now = node.now()
+    _forget_broken(watch, now)
+    suspects = sorted({fingerprint(call) for _, call in watch.broken})
+    watch.broken.clear()
+    if not suspects:
+        return
+    suspicion.note_crash(watch.suspected, suspects, now)
+    decision.record(log, logging.WARNING, "target-crashed", suspects=len(suspects))
+    request = http.Request(method="POST", path=CRASH_PATH, body=msgspec.json.encode(suspects))
+    async with trio.open_nursery() as nursery:
+        for one in node.members.values():
+            if one.service == node.place.service and one.node != node.place.node:
+                nursery.start_soon(_push, watch, one.address, request)
+
+
+async def _push(watch: Watch, address: identity.Address, request: http.Request) -> None:
+    sent = await http.fetch(watch.connect, address, request, timeout_s=PUSH_TIMEOUT_S)
+    if not isinstance(sent, result.Success):
+        # That node has one crash less to judge by.
+        decision.record(
+            log, logging.INFO, "push-failed", address=address, cause=sent.failure().value
+        )
+
+
+def take_push(watch: Watch, body: bytes) -> bool:
+    """Take what another node's target was running when it crashed; return whether it was readable.
+
+    :param watch: the state.
+    :param body: the fingerprints.
+    """
+    try:
+        suspects = msgspec.json.decode(body, type=list[str])
+    except msgspec.DecodeError as exc:
+        decision.record(log, logging.ERROR, "push-unreadable", path=CRASH_PATH, cause=str(exc))
+        return False
+    names = [identity.Fingerprint(name) for name in suspects]
+    suspicion.note_crash(watch.suspected, names, watch.node.now())
+    return True
--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -5,7 +5,6 @@
 import dataclasses
 import enum
 
-from returns import result
 import trio
 
 from ebonyvalve.connection import pool
@@ -13,7 +12,7 @@
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant, ledger
 from ebonyvalve.process.load import gate, heat
-from ebonyvalve.request import attempt, dispatch, exchange, outcome
+from ebonyvalve.request import attempt, crash, dispatch, exchange, outcome
 
 ANY_KEY = -1
 # Callers that are refused come back, mostly twice.
@@ -24,8 +23,8 @@
 RESTART_S = 1.0
 # A leaving target may get new work for a while; this leaves room for what is on its way.
 HANDOVER_MARGIN_S = 0.4
-# A process that has ended refuses connections at once and for as long as it takes to start.
-CONFIRM_S = 0.1
+# A request that crashes targets is refused for about as long as it is remembered.
+GUILTY_RETRY_S = 30.0
 # Cold targets have room again, and waiting requests become late, as time passes.
 QUEUE_TICK_S = 0.03
 
@@ -59,9 +58,9 @@
     node: node_module.Node
     pool: pool.Pool
     dialect: Dialect
+    crashes: crash.Watch
     waiters: dict[gate.Ticket, trio.Event] = dataclasses.field(default_factory=dict)
     late: set[gate.Ticket] = dataclasses.field(default_factory=set)
-    is_confirming: bool = False
     # Around the orders under way, so that the end of the process can break them off.
     shields: set[trio.CancelScope] = dataclasses.field(default_factory=set)
 
@@ -94,6 +93,10 @@
     refusal = await _find_refusal(delivery, call, rules)
     if refusal is not None:
         return refusal
+    if crash.is_guilty(delivery.crashes, call):
+        return Ended(
+            result=outcome.refuse(outcome.Reason.QUARANTINED), retry_after_s=GUILTY_RETRY_S
+        )
     demand = gate.Demand(
         deadline_at=call.deadline_at_s,
         objective_s=rules.objective_s,
@@ -279,11 +282,13 @@
     with _protect_order(delivery, call):
         await attempt.run(way, call, caller, node.now, ended)
     if ended.failure is pool.PoolFailure.REFUSED:
-        await _confirm_dead(delivery, target.lifetime)
+        crash.note_refused(delivery.crashes)
         return Ended(result=outcome.refuse(outcome.Reason.NO_TARGET), retry_after_s=0.3)
     if ended.attempt.step is dispatch.Step.WITHHELD:
         return _conclude_withheld(node, judged[0])
     concluded = attempt.conclude(ended)
+    if concluded.result.reason is outcome.Reason.CONNECTION_LOST and not ended.is_silent:
+        crash.note_broken(delivery.crashes, call)
     return Ended(result=concluded.result, is_told=concluded.is_told)
 
 
@@ -319,24 +324,3 @@
     if judged is Judgement.MISPLACED:
         return Ended(result=outcome.refuse(outcome.Reason.STALE_FENCE), retry_after_s=GRANT_RETRY_S)
     return Ended(result=outcome.refuse(outcome.Reason.TARGET_SHED), retry_after_s=node.gate.work_s)
-
-
-async def _confirm_dead(delivery: Delivery, lifetime: identity.Lifetime) -> None:
-    """Tell a target that has ended from one that refuses a single connection."""
-    if delivery.is_confirming:
-        return
-    delivery.is_confirming = True
-    try:
-        with trio.CancelScope(shield=True):
-            await node_module.pause(delivery.node, CONFIRM_S)
-            address = delivery.node.place.target_address
-            opened = await pool.open_new(delivery.pool, address)
-            target = delivery.node.target
-            if target is None or target.lifetime != lifetime:
-                return
-            if isinstance(opened, result.Success):
-                await pool.discard(delivery.pool, address, opened.unwrap())
-            elif opened.failure() is pool.PoolFailure.REFUSED:
-                node_module.set_gone(delivery.node, "refuses connections", is_dead=True)
-    finally:
-        delivery.is_confirming = False
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -179,6 +179,9 @@
         verdict = ended.result.verdict
         if verdict is outcome.Verdict.ANSWERED or ended.is_told or not call.is_whole:
             return ended
+        if ended.result.reason is outcome.Reason.QUARANTINED:
+            # All nodes of the service have been told of it.
+            break
         if verdict is outcome.Verdict.UNKNOWN:
             offered += 1
             may_repeat = rules.is_repeatable and offered < rules.attempts
--- /dev/null
+++ b/tests/request/test_crash.py
@@ -0,0 +1,147 @@
+"""Targets that crash, and the requests that make them."""
+
+import collections.abc
+import dataclasses
+
+import pytest
+import trio
+import trio.testing
+
+from ebonyvalve.connection import pool
+from ebonyvalve.process import identity, member, timer
+from ebonyvalve.process import node as node_module
+from ebonyvalve.process.load import suspicion
+from ebonyvalve.request import crash, delivery, exchange, outcome
+from tests.request import test_delivery, test_origin
+
+
+@dataclasses.dataclass(kw_only=True)
+class Target:
+    """The target's end: whether it refuses connections."""
+
+    is_up: bool = True
+    opened: int = 0
+
+
+def build_watch(nursery: trio.Nursery, target: Target) -> crash.Watch:
+    async def connect(_: str) -> trio.abc.Stream:
+        target.opened += 1
+        if not target.is_up:
+            raise ConnectionRefusedError
+        ours, _ = trio.testing.memory_stream_pair()
+        return ours
+
+    entry = test_origin.build_origin(0.0)
+    entry.node.target = start_target(entry.node, 1)
+    entry.node.members.clear()
+    watch = crash.Watch(
+        node=entry.node,
+        pool=pool.Pool(connect=connect, now=trio.current_time),
+        connect=connect,
+    )
+    nursery.start_soon(timer.run, entry.node.wakeups)
+    nursery.start_soon(crash.run, watch)
+    return watch
+
+
+def start_target(node: node_module.Node, born: int) -> node_module.Target:
+    return node_module.Target(
+        lifetime=identity.Lifetime(f"t@{born}"),
+        born_ms=born,
+        slots=4,
+        state=member.TargetState.READY,
+        reported_at=node.now(),
+    )
+
+
+def build_call(path: str) -> exchange.Call:
+    return dataclasses.replace(test_origin.build_call(is_repeatable=True), path=path)
+
+
+async def test_broken_connection_shows_a_crash_without_a_further_request(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Its keys can go to others before the next caller finds out."""
+    target = Target(is_up=False)
+    watch = build_watch(nursery, target)
+    crash.note_broken(watch, build_call("/a"))
+    await trio.sleep(2 * crash.CONFIRM_S)
+    assert watch.node.target is not None and watch.node.target.is_dead
+    assert watch.suspected.crashes.keys() == {crash.fingerprint(build_call("/a"))}
+
+
+async def test_target_that_breaks_off_answers_and_lives(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Broken answers are no crash, and cost few connections."""
+    target = Target()
+    watch = build_watch(nursery, target)
+    for _ in range(100):
+        crash.note_broken(watch, build_call("/a"))
+        await trio.sleep(0.01)
+    assert watch.node.target is not None and not watch.node.target.is_dead
+    assert watch.suspected.crashes == {}
+    assert target.opened <= 12
+
+
+async def test_request_that_crashes_targets_is_refused(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """It comes again with the same path and body under another id, and reaches three targets."""
+    target = Target()
+    watch = build_watch(nursery, target)
+    for born in range(1, 4):
+        watch.node.target = start_target(watch.node, born)
+        target.is_up = False
+        assert not crash.is_guilty(watch, build_call("/poison"))
+        crash.note_broken(watch, build_call("/poison"))
+        crash.note_broken(watch, build_call(f"/beside-{born}"))
+        await trio.sleep(3.0)
+        target.is_up = True
+    assert crash.is_guilty(watch, build_call("/poison"))
+    assert not crash.is_guilty(watch, build_call("/beside-1"))
+    assert not crash.is_guilty(watch, build_call("/other"))
+
+
+async def test_gate_refuses_it_truthfully(autojump_clock: trio.testing.MockClock) -> None:
+    """Not run, and with a hint to stay away for long."""
+    state = test_delivery.build_delivery()
+    node = state.node
+    assert node.target is not None
+    node.grantor.granted = ((0, identity.LAST_SLOT),)
+    node.grantor.ends_at = trio.current_time() + 10.0
+    call = test_delivery.build_call(1.0)
+    for _ in range(suspicion.MOST_CRASHES):
+        suspicion.note_crash(state.crashes.suspected, [crash.fingerprint(call)], node.now())
+        await trio.sleep(1.0)
+    call = test_delivery.build_call(1.0)
+    ended: delivery.Ended = await test_delivery.run(state, call)
+    assert ended.result.verdict is outcome.Verdict.NOT_RUN
+    assert ended.result.reason is outcome.Reason.QUARANTINED
+    assert ended.retry_after_s > 10.0
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"path": "/b"}, {"method": "PUT"}, {"prefix": b"x"}, {"length": 7}],
+)
+async def test_other_requests_have_other_fingerprints(
+    change: collections.abc.Mapping[str, object],
+) -> None:
+    call = build_call("/a")
+    other = dataclasses.replace(call, **change)  # type: ignore[arg-type]
+    again = dataclasses.replace(call, request_id="another", headers=[(b"x", b"y")])
+    assert crash.fingerprint(other) != crash.fingerprint(call) == crash.fingerprint(again)
+
+
+async def test_what_other_nodes_tell_counts(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Each crash may be beside another node."""
+    watch = build_watch(nursery, Target())
+    name = crash.fingerprint(build_call("/poison"))
+    for _ in range(3):
+        assert crash.take_push(watch, f'["{name}"]'.encode())
+        await trio.sleep(1.0)
+    assert crash.is_guilty(watch, build_call("/poison"))
+    assert not crash.take_push(watch, b"{")
--- a/tests/request/test_origin.py
+++ b/tests/request/test_origin.py
@@ -10,7 +10,7 @@
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant
 from ebonyvalve.process.load import gate, heat
-from ebonyvalve.request import delivery, exchange, origin, outcome
+from ebonyvalve.request import crash, delivery, exchange, origin, outcome
 from ebonyvalve.version import traffic
 
 ORDERS = identity.ServiceId("orders")
@@ -69,7 +69,12 @@
     peers = pool.Pool(connect=connect, now=trio.current_time)
     return origin.Origin(
         node=node,
-        delivery=delivery.Delivery(node=node, pool=peers, dialect=dialect),
+        delivery=delivery.Delivery(
+            node=node,
+            pool=peers,
+            dialect=dialect,
+            crashes=crash.Watch(node=node, pool=peers, connect=connect),
+        ),
         peers=peers,
         current=traffic.Current(),
     )
