Give fast targets more keys, by what each answers in rather than by load alone

Cause: ranges are equal at the start, and moved only from targets above 0.6 load.

Change: relief compares expected times to an answer (work time and load). A target that would answer a good deal later than another one gives it up to half of its requests, and the faster one is filled up to 0.6, which leaves room for bursts. Busy targets are relieved as before. Work times for this come from the last second or two, not from the last few answers, because neighbours slow targets for 400 ms.

--- a/src/ebonyvalve/process/keyspace/relief.py
+++ b/src/ebonyvalve/process/keyspace/relief.py
@@ -1,4 +1,9 @@
-"""Moves busy keys from a target that is asked for more than it can do to those with room."""
+"""Moves keys from targets that answer late to those that would answer sooner.
+
+A target answers late because it is asked for more than it can do, or because it is slow: where
+speeds differ by more than two, equal shares of the keys make the slow targets miss objectives that
+the fast ones keep with room to spare.
+"""
 
 import bisect
 import collections.abc
@@ -6,23 +11,32 @@
 
 from ebonyvalve.process.keyspace import ledger
 
-# Below this a target answers within its objective, however uneven the shares are.
+# Above this a target is relieved although no other one is faster.
 BUSY = 0.6
 # A target this much busier than the mean is relieved; less is noise.
 UNEVEN = 1.2
+# A faster target is given keys up to this load, which leaves room for the usual bursts.
+COMFORT = 0.6
+# Work times are known to within a quarter on either side.
+SLOWER = 1.6
 # Part of the difference that a move evens out. The rest is left to the next look, because rates
 # are known only roughly.
 STEP = 0.8
+# Part of its load that a target gives away at once because others are faster.
+MOST_GIVEN = 0.5
 MOST_MOVES = 3
 # A move that brings less than this share of a target's room isn't worth its cost.
 LEAST_GAIN = 0.04
+# Queues grow without bound as the load nears 1; the expected time stays finite.
+MOST_OFFERED = 0.95
+HALVINGS = 12
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Load:
     """What a target is asked for: work that arrives a second over the work it can do.
 
-    ``request_load`` is the load of one request a second.
+    ``request_load`` is the load of one request a second; times the slots, it is the work time.
     """
 
     candidate: ledger.Candidate
@@ -39,6 +53,63 @@
     heir: ledger.Candidate
 
 
+def expect_answer(load: Load, offered: float) -> float:
+    """Return the expected seconds to an answer at a load.
+
+    :param load: the target.
+    :param offered: what it would be asked for.
+    """
+    work_s = load.request_load * load.candidate.weight
+    # With several slots, hardly anything waits below half load.
+    return work_s * (1.0 + offered**4 / (1.0 - min(offered, MOST_OFFERED)))
+
+
+def find_heir(own: Load, others: collections.abc.Iterable[Load], *, mean: float) -> Load | None:
+    """Return the target that should get keys of another one, if that is worth a move.
+
+    :param own: the load of the target that may give keys.
+    :param others: the loads of those that may take keys now.
+    :param mean: the mean load of all targets.
+    """
+    is_busy = own.offered >= BUSY and own.offered >= UNEVEN * mean
+    most = max(COMFORT, mean) if is_busy else COMFORT
+    able = [one for one in others if one.offered < most]
+    if not able:
+        return None
+    heir = min(able, key=lambda one: (_expect_now(one), one.candidate.lifetime))
+    if is_busy and heir.offered <= mean:
+        return heir
+    return heir if _expect_now(own) > SLOWER * _expect_now(heir) else None
+
+
+def _expect_now(load: Load) -> float:
+    return expect_answer(load, load.offered)
+
+
+def choose_rate(own: Load, heir: Load) -> float:
+    """Return how many requests a second should move, so that both answer equally soon.
+
+    A faster heir is not loaded beyond comfort for that, unless it would still be the less busy one.
+
+    :param own: the load of the target that gives keys.
+    :param heir: the load of the one that gets them.
+    """
+    low, high = 0.0, own.offered / own.request_load
+    for _ in range(HALVINGS):
+        rate = (low + high) / 2
+        here_s = expect_answer(own, own.offered - rate * own.request_load)
+        if here_s > expect_answer(heir, heir.offered + rate * heir.request_load):
+            low = rate
+        else:
+            high = rate
+    if own.offered < BUSY:
+        # Others that are as slow have as good a claim to the heir's room.
+        low = min(low, MOST_GIVEN * own.offered / own.request_load)
+    comfortable = (COMFORT - heir.offered) / heir.request_load
+    even = (own.offered - heir.offered) / (own.request_load + heir.request_load)
+    return max(0.0, min(low, max(comfortable, even)))
+
+
 def find_moves(
     book: ledger.Ledger,
     own: Load,
@@ -58,30 +129,23 @@
     spans = ledger.list_held(book, own.candidate.lifetime)
     if any(span.heir for span in spans):
         return []
-    loads = {load.candidate.lifetime: load for load in others}
-    offered = {name: load.offered for name, load in loads.items()}
-    left = own.offered
+    left = list(others)
     busy = sorted(rates.items())
     pieces = [_list_rates(span, busy) for span in spans]
     moves: list[Move] = []
-    while offered and len(moves) < MOST_MOVES:
-        if left < BUSY or left < UNEVEN * mean:
-            break
-        name = min(offered, key=lambda one: (offered[one], one))
-        heir = loads[name]
-        if offered[name] > mean:
+    while len(moves) < MOST_MOVES:
+        heir = find_heir(own, left, mean=mean)
+        if heir is None:
             break
-        per_request = own.request_load + heir.request_load
-        wanted = STEP * (left - offered[name]) / per_request
-        cut = _cut(pieces, wanted)
+        cut = _cut(pieces, STEP * choose_rate(own, heir))
         if cut is None:
             break
         first, last, rate = cut
         if rate * own.request_load < LEAST_GAIN:
             break
         moves.append(Move(first=first, last=last, heir=heir.candidate))
-        left -= rate * own.request_load
-        del offered[name]
+        own = dataclasses.replace(own, offered=max(0.0, own.offered - rate * own.request_load))
+        left.remove(heir)
     return moves
 
 
--- a/src/ebonyvalve/process/keyspace/steward.py
+++ b/src/ebonyvalve/process/keyspace/steward.py
@@ -150,8 +150,7 @@
     now = node.now()
     if situation.is_leaving or now < steward.relieved_at + RELIEF_PAUSE_S:
         return book
-    # Sorting the rates of thousands of keys is work that a calm target need not do.
-    if now < steward.rated_at + RATE_LOOK_S or node_module.measure(node).offered < relief.BUSY:
+    if now < steward.rated_at + RATE_LOOK_S:
         return book
     steward.rated_at = now
     own = next((one for one in situation.candidates if one.node == node.place.node), None)
@@ -162,21 +161,20 @@
         return book
     # Keys that are on their way here come after a heartbeat or two, too late to wait for them.
     settling |= {identity.Lifetime(span.heir) for span in book.spans if span.heir}
-    held = ledger.list_held(book, own.lifetime)
-    heat.keep(node.heat, [(span.first, span.last) for span in held])
     loads = {one.node: _estimate(steward, one) for one in situation.candidates}
     others = [
         load
         for name, load in loads.items()
         if name != node.place.node and load.candidate.lifetime not in settling
     ]
-    moves = relief.find_moves(
-        book,
-        loads[own.node],
-        others,
-        heat.read_rates(node.heat, now),
-        mean=sum(load.offered for load in loads.values()) / len(loads),
-    )
+    mean = sum(load.offered for load in loads.values()) / len(loads)
+    # Sorting the rates of thousands of keys is work that a calm target need not do.
+    if relief.find_heir(loads[own.node], others, mean=mean) is None:
+        return book
+    held = ledger.list_held(book, own.lifetime)
+    heat.keep(node.heat, [(span.first, span.last) for span in held])
+    rates = heat.read_rates(node.heat, now)
+    moves = relief.find_moves(book, loads[own.node], others, rates, mean=mean)
     for move in moves:
         book = ledger.order_move(book, move.first, move.last, move.heir)
         decision.record(
@@ -199,14 +197,12 @@
         return relief.Load(
             candidate=one,
             offered=measured.offered,
-            request_load=measured.work_s / measured.slots,
+            request_load=measured.request_load,
         )
     view = node_module.read_view(node, one.node)
     told = node.leases.get(one.node)
-    if node.now() - view.reported_at < LOAD_AGE_S or told is None:
-        return relief.Load(
-            candidate=one, offered=view.offered, request_load=view.work_s / view.slots
-        )
+    if node.now() - view.reported_at < LOAD_AGE_S or told is None or not told.row.request_load:
+        return relief.Load(candidate=one, offered=view.offered, request_load=view.request_load)
     return relief.Load(candidate=one, offered=told.row.offered, request_load=told.row.request_load)
 
 
--- a/src/ebonyvalve/process/keyspace/tenure.py
+++ b/src/ebonyvalve/process/keyspace/tenure.py
@@ -58,7 +58,7 @@
         until_s=until_s,
         incarnation=node.incarnation,
         offered=measured.offered,
-        request_load=measured.work_s / measured.slots,
+        request_load=measured.request_load,
     )
     done = await steward.store.commit(
         {name: steward.lease_version}, {name: msgspec.json.encode(row)}
--- a/src/ebonyvalve/process/load/choice.py
+++ b/src/ebonyvalve/process/load/choice.py
@@ -24,13 +24,15 @@
 class View:
     """What this node knows of another node's target, from its answers. Times are seconds.
 
-    ``offered`` is the work that arrives for it a second over the work it can do.
+    ``offered`` is the work that arrives for it a second over the work it can do, ``request_load``
+    what one request a second adds to that. ``work_s`` is as of the last few answers.
     """
 
     slots: int
     busy: int = 0
     work_s: float = FIRST_WORK_S
     offered: float = 0.0
+    request_load: float = FIRST_WORK_S
     reported_at: float = float("-inf")
     outstanding: int = 0
     failures: int = 0
@@ -46,6 +48,7 @@
     slots: int
     work_s: float
     offered: float
+    request_load: float
 
 
 def note_load(view: View, report: Report, now: float) -> None:
@@ -56,7 +59,8 @@
     :param now: seconds on the node's clock.
     """
     view.busy, view.slots = report.busy, max(1, report.slots)
-    view.work_s, view.offered = report.work_s, report.offered
+    view.work_s = report.work_s
+    view.offered, view.request_load = report.offered, report.request_load
     view.reported_at = now
     view.failures = 0
     view.avoid_until = float("-inf")
--- a/src/ebonyvalve/process/load/gate.py
+++ b/src/ebonyvalve/process/load/gate.py
@@ -17,6 +17,8 @@
 # The usual work time, until answers have shown it.
 FIRST_WORK_S = 0.1
 WORK_WEIGHT = 0.1
+# Neighbours on the target's machine triple its work time for parts of a second at a time.
+USUAL_WEIGHT = 0.03
 # A request is refused when less than this part of the usual work time would be left for it.
 LEAST_WORK_SHARE = 0.7
 # A caller that comes back sooner finds the same queue, and most come back only once or twice.
@@ -80,6 +82,9 @@
     slots: int
     cold_rate: float
     work_s: float = FIRST_WORK_S
+    # As of the last second or two rather than the last few answers; for what lasts longer.
+    usual_work_s: float = FIRST_WORK_S
+    measured: int = 0
     cold_until: float = float("-inf")
     # Short calls and long orders share a target.
     kinds: dict[str, Kind] = dataclasses.field(default_factory=dict)
@@ -211,6 +216,18 @@
         if kind in gate.kinds:
             gate.kinds[kind].work_s = before_s + WORK_WEIGHT * (work_s - before_s)
         gate.work_s += WORK_WEIGHT * (work_s - gate.work_s)
+        gate.measured += 1
+        weight = max(USUAL_WEIGHT, 1.0 / gate.measured)
+        gate.usual_work_s += weight * (work_s - gate.usual_work_s)
+
+
+def forget_work(gate: Gate) -> None:
+    """Expect the usual work time again, after the target has been replaced.
+
+    :param gate: the state.
+    """
+    gate.work_s = gate.usual_work_s = FIRST_WORK_S
+    gate.measured = 0
 
 
 def withdraw(gate: Gate, ticket: Ticket) -> None:
--- a/src/ebonyvalve/process/node.py
+++ b/src/ebonyvalve/process/node.py
@@ -221,11 +221,13 @@
     :param node: the node.
     """
     rate = heat.read_total(node.heat, node.now())
+    request_load = node.gate.usual_work_s / node.gate.slots
     return choice.Report(
         busy=len(node.gate.running) + len(node.gate.waiting),
         slots=node.gate.slots,
         work_s=node.gate.work_s,
-        offered=rate * node.gate.work_s / node.gate.slots,
+        offered=rate * request_load,
+        request_load=request_load,
     )
 
 
@@ -316,7 +318,7 @@
         known = find_policy(node, node.place.service)
         rate = known.cold_rate if known is not None else 0.0
         node.gate.cold_rate = rate
-        node.gate.work_s = gate.FIRST_WORK_S
+        gate.forget_work(node.gate)
         decision.record(log, logging.INFO, "target-started", target=target.lifetime)
     elif before.state is not target.state:
         decision.record(
--- a/src/ebonyvalve/request/relay.py
+++ b/src/ebonyvalve/request/relay.py
@@ -97,9 +97,13 @@
     value = wire.find_header(headers, LOAD_HEADER)
     if value is None:
         return
-    busy, slots, work_ms, offered = value.split(b",")
+    busy, slots, work_ms, offered, request_load = value.split(b",")
     report = choice.Report(
-        busy=int(busy), slots=int(slots), work_s=int(work_ms) / 1000, offered=float(offered)
+        busy=int(busy),
+        slots=int(slots),
+        work_s=int(work_ms) / 1000,
+        offered=float(offered),
+        request_load=float(request_load),
     )
     choice.note_load(view, report, now)
 
@@ -130,5 +134,5 @@
     """
     load = node_module.measure(node)
     work_ms = max(1, int(load.work_s * 1000))
-    value = f"{load.busy},{load.slots},{work_ms},{load.offered:.3f}"
+    value = f"{load.busy},{load.slots},{work_ms},{load.offered:.3f},{load.request_load:.5f}"
     return [(LOAD_HEADER, value.encode()), *list_seen(node)]
--- a/tests/process/keyspace/test_relief.py
+++ b/tests/process/keyspace/test_relief.py
@@ -1,4 +1,5 @@
-"""Load pattern: a third of a service's lookups about neighbouring keys, on one owner."""
+"""Load patterns: a third of a service's lookups about neighbouring keys, on one owner; targets
+whose speeds differ by more than two."""
 
 import random
 
@@ -15,13 +16,13 @@
 
 
 def measure(
-    book: ledger.Ledger, rates: dict[int, float], one: ledger.Candidate
+    book: ledger.Ledger, rates: dict[int, float], one: ledger.Candidate, work_s: float = WORK_S
 ) -> tuple[relief.Load, dict[int, float]]:
     own = {
         slot: rate for slot, rate in rates.items() if ledger.find(book, slot).holder == one.lifetime
     }
-    offered = sum(own.values()) * WORK_S / SLOTS
-    return relief.Load(candidate=one, offered=offered, request_load=WORK_S / SLOTS), own
+    offered = sum(own.values()) * work_s / SLOTS
+    return relief.Load(candidate=one, offered=offered, request_load=work_s / SLOTS), own
 
 
 def find_moves(
@@ -97,3 +98,67 @@
     rates = dict.fromkeys(range(100), 2.0)
     book = ledger.order_move(book, 0, 9, everyone[1])
     assert find_moves(book, rates, everyone[0], everyone) == []
+
+
+def spread(
+    works_s: list[float], per_s: float, rounds: int
+) -> tuple[list[relief.Load], list[int], list[int]]:
+    """Let targets of different speeds look in turn; return loads, keys held, keys moved a round."""
+    rng = random.Random(7)
+    everyone = [build_candidate(number) for number in range(len(works_s))]
+    book = ledger.create(everyone)
+    rates = {rng.randrange(65_536): per_s / 2000 for _ in range(2000)}
+    moved = []
+    for _ in range(rounds):
+        count = 0
+        for one in everyone:
+            pairs = [
+                measure(book, rates, other, work_s)
+                for other, work_s in zip(everyone, works_s, strict=True)
+            ]
+            loads = [load for load, _ in pairs]
+            number = everyone.index(one)
+            others = loads[:number] + loads[number + 1 :]
+            mean = sum(load.offered for load in loads) / len(loads)
+            found = relief.find_moves(book, loads[number], others, pairs[number][1], mean=mean)
+            for move in found:
+                book = ledger.order_move(book, move.first, move.last, move.heir)
+                count += move.last - move.first + 1
+            book = ledger.pass_on(book, {span.first: "h" for span in book.spans if span.heir})
+        moved.append(count)
+    loads = [
+        measure(book, rates, one, work_s)[0] for one, work_s in zip(everyone, works_s, strict=True)
+    ]
+    held = [
+        sum(span.last - span.first + 1 for span in ledger.list_held(book, one.lifetime))
+        for one in everyone
+    ]
+    return loads, held, moved
+
+
+def test_fast_targets_get_more_keys_on_calm_days() -> None:
+    """Half of a calm day's lookups were late at slow targets while fast ones idled at 0.25.
+
+    The fast ones are filled up to comfort, and no further.
+    """
+    works_s = [0.13, 0.13, 0.056, 0.13, 0.13, 0.056]
+    loads, held, moved = spread(works_s, 240.0, 8)
+    slow = [load.offered for load, work_s in zip(loads, works_s, strict=True) if work_s > 0.1]
+    fast = [load.offered for load, work_s in zip(loads, works_s, strict=True) if work_s < 0.1]
+    assert all(0.5 < offered <= relief.COMFORT for offered in fast)
+    assert all(offered < 0.45 for offered in slow)
+    assert held[2] + held[5] > 0.6 * (identity.LAST_SLOT + 1)
+    assert sum(moved[-3:]) == 0
+
+
+def test_burst_uses_slow_targets_as_well() -> None:
+    """A burst of 1.7 goes back to the slow ones before the fast ones are full."""
+    works_s = [0.13, 0.13, 0.056, 0.13, 0.13, 0.056]
+    loads, _, _ = spread(works_s, 400.0, 8)
+    assert max(load.offered for load in loads) < 0.9
+
+
+def test_noise_of_work_times_moves_nothing() -> None:
+    """Targets of one speed whose work times were measured a sixth apart."""
+    _, _, moved = spread([0.1, 0.085, 0.115, 0.1], 140.0, 4)
+    assert sum(moved) == 0
--- a/tests/process/load/test_choice.py
+++ b/tests/process/load/test_choice.py
@@ -32,7 +32,9 @@
         for end, name, work_s in [one for one in ends if one[0] <= now]:
             views[name].outstanding -= 1
             busy = sum(1 for at in free_at[name] if at > now)
-            report = choice.Report(busy=busy, slots=6, work_s=work_s, offered=0.0)
+            report = choice.Report(
+                busy=busy, slots=6, work_s=work_s, offered=0.0, request_load=0.02
+            )
             choice.note_load(views[name], report, end)
         ends = [one for one in ends if one[0] > now]
         name = choice.choose(views, set(NAMES), now, rng.random)
