--- a/src/ebonyvalve/process/keyspace/tenure.py
+++ b/src/ebonyvalve/process/keyspace/tenure.py
@@ -3,6 +3,7 @@
 import logging
 
 import msgspec
+import trio
 
 from ebonyvalve.process import decision, identity
 from ebonyvalve.process import node as node_module
@@ -37,14 +38,24 @@
     node = steward.node
     renew_at = node.now() + lease.RENEW_S
     while node.now() + GATHER_PAUSE_S < renew_at:
-        await node_module.pause(steward.node, GATHER_PAUSE_S)
+        await _await_doubt(steward, GATHER_PAUSE_S)
         joined = node_module.list_open_members(node, node.place.service)
         is_new = any(one.node not in node.leases for one in joined)
         if is_new or steward.has_doubtful_leases:
             await read_leases(steward)
+        if steward.has_doubtful_leases:
+            # The store did not answer.
+            await node_module.pause(node, GATHER_PAUSE_S)
     await node_module.pause(steward.node, max(0.0, renew_at - node.now()))
 
 
+async def _await_doubt(steward: records.Steward, most_s: float) -> None:
+    """Wait until the lease of another node may have been removed, but no longer than given."""
+    with trio.move_on_after(most_s):
+        while not steward.has_doubtful_leases:
+            await steward.node.changed.wait()
+
+
 async def _renew(steward: records.Steward) -> bool:
     node = steward.node
     if node.clock is None:
--- a/tests/process/keyspace/test_steward.py
+++ b/tests/process/keyspace/test_steward.py
@@ -55,6 +55,8 @@
     nursery: trio.Nursery
     machines: list[Machine]
     births: collections.abc.Iterator[int]
+    # Whether nodes reach each other; else they learn from the store only.
+    is_connected: bool = False
     violations: list[str] = dataclasses.field(default_factory=list)
 
 
@@ -89,12 +91,27 @@
 )
 
 
+def build_respond(world: World, address: str) -> http.Respond:
+    """Return what takes the ledgers that other nodes send to an address."""
+    keepers = [machine.keeper for machine in world.machines if machine.keeper is not None]
+    found = [keeper for keeper in keepers if keeper.node.place.peers_address == address]
+    if not world.is_connected or not found:
+        raise OSError("unreachable")
+
+    async def respond(request: http.Request) -> http.Reply:
+        is_taken = records.take_push(found[0], request.path, request.body)
+        return http.Reply(status=204 if is_taken else 400, body=b"")
+
+    return respond
+
+
 def build_keeper(world: World, machine: Machine) -> records.Steward:
     async def connect(address: str) -> trio.abc.Stream:
-        if address != "store:1":
-            raise OSError("nodes learn from the store only in this test")
+        if address == "store:1":
+            respond = metadata.build_respond(world.state, machine.name)
+        else:
+            respond = build_respond(world, address)
         ours, theirs = trio.testing.memory_stream_pair()
-        respond = metadata.build_respond(world.state, machine.name)
         world.nursery.start_soon(functools.partial(http.serve, respond, theirs))
         return ours
 
@@ -406,6 +423,7 @@
     Its address answered, for another machine had it, so that nothing else was to be waited for.
     """
     world = await build_world(nursery)
+    world.is_connected = True
     lost = world.machines[0]
     stop_node(lost)
     lost.target = None
