Refuse at once what a node short of processor time can't answer, and drop what it read too late

A node that ran 5.5 times slower took them all, so that lookups were held until their deadlines; those that it read seconds late it worked on after their callers had left, because nothing says when a request was sent.

Change: the queue's tick measures by how much wake-ups come late (process/load/pace.py). A request that would need more than half of its time for the node alone is refused as not run, also to other nodes, which pass the node by; its answers tell the lateness as work time. While the node is behind, a request whose caller has closed the connection is dropped before anything is done for it.

--- a/src/ebonyvalve/process/node.py
+++ b/src/ebonyvalve/process/node.py
@@ -9,7 +9,7 @@
 
 from ebonyvalve.process import budget, decision, identity, member, place, timer
 from ebonyvalve.process.keyspace import grant, lease, ledger
-from ebonyvalve.process.load import choice, gate, heat, policy
+from ebonyvalve.process.load import choice, gate, heat, pace, policy
 from ebonyvalve.process.observation import tally
 
 log = logging.getLogger(__name__)
@@ -70,6 +70,7 @@
     grantor: grant.Grantor
     budget: budget.Budget
     heat: heat.Heat
+    behind: pace.Pace = dataclasses.field(default_factory=pace.Pace)
     counted: tally.Tally = dataclasses.field(default_factory=tally.Tally)
     config: identity.ConfigVersion | None = None
     # Why the newest configuration was not applied; empty if it was.
@@ -241,6 +242,7 @@
         "running": len(node.gate.running),
         "queue_length": len(node.gate.waiting),
         "work_seconds": measured.work_s,
+        "late_seconds": node.behind.late_s,
         "offered_load": measured.offered,
         "config_version": node.config or 0,
         "config_refused": float(bool(node.refused)),
--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -11,7 +11,7 @@
 from ebonyvalve.process import identity, timer
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant, ledger
-from ebonyvalve.process.load import gate, heat
+from ebonyvalve.process.load import gate, heat, pace
 from ebonyvalve.request import attempt, crash, dispatch, exchange, outcome
 
 ANY_KEY = -1
@@ -252,7 +252,10 @@
     """
     ticks = timer.subscribe(delivery.node.wakeups, period_s=QUEUE_TICK_S)
     while True:
-        await timer.tick(delivery.node.wakeups, ticks)
+        due_at = ticks.next_at
+        pace.note_wake_up(
+            delivery.node.behind, await timer.tick(delivery.node.wakeups, ticks) - due_at
+        )
         if delivery.node.gate.waiting:
             wake(delivery)
 
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -11,7 +11,7 @@
 from ebonyvalve.process import budget, decision, identity
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import ledger
-from ebonyvalve.process.load import choice
+from ebonyvalve.process.load import choice, pace
 from ebonyvalve.process.observation import tally
 from ebonyvalve.request import attempt, delivery, dispatch, exchange, held, outcome, relay
 from ebonyvalve.version import traffic
@@ -36,11 +36,13 @@
         outcome.Reason.STOPPING,
         outcome.Reason.DRAINED,
         outcome.Reason.NO_TARGET,
+        outcome.Reason.BEHIND,
     }
 )
 # Gives a node that has just lost a target time to learn of it.
 RETRY_AFTER_S = 0.4
 RETRY_SPREAD = 0.6
+STALE = outcome.doubt(outcome.Reason.CALLER_GONE)
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -84,6 +86,8 @@
     most_s = route.timeout_s if head.budget_s is None else min(route.timeout_s, head.budget_s)
     call.service = service
     call.deadline_at_s = node.now() + most_s
+    if not pace.can_serve(node.behind, most_s):
+        return outcome.refuse(outcome.Reason.BEHIND)
     call.rules = exchange.Rules(
         is_repeatable=route.repeat is traffic.Repeat.IDEMPOTENT,
         attempts=route.attempts,
@@ -107,6 +111,9 @@
     :param head: what its head says.
     """
     started_at = origin.node.now()
+    if await _is_stale(origin.node, call, caller):
+        _record(origin, call, STALE, started_at, [])
+        return STALE
     refusal = resolve(origin, call, head)
     if refusal is not None:
         await refuse(caller, refusal, RETRY_AFTER_S)
@@ -130,6 +137,14 @@
     return result
 
 
+async def _is_stale(node: node_module.Node, call: exchange.Call, caller: exchange.Caller) -> bool:
+    """Return whether a request was read so late that its caller has left.
+
+    Its deadline counts from when it was read, because nothing says when it was sent.
+    """
+    return pace.is_behind(node.behind) and call.is_whole and await caller.find_gone()
+
+
 async def _run_watched(
     node: node_module.Node,
     call: exchange.Call,
@@ -328,20 +343,42 @@
     """
     node = origin.node
     started_at = node.now()
+    if await _is_stale(node, call, caller):
+        _record(origin, call, STALE, started_at, [])
+        return STALE
 
     async def reply(status: int, headers: exchange.Headers) -> bool:
         return await caller.reply(status, headers + relay.list_load(node))
 
+    if not pace.can_serve(node.behind, call.deadline_at_s - started_at):
+        ended = delivery.Ended(
+            result=outcome.refuse(outcome.Reason.BEHIND), retry_after_s=RETRY_AFTER_S
+        )
+        return await _refuse_hop(origin, call, caller, ended, started_at)
     passing = dataclasses.replace(caller, reply=reply)
     ended, is_gone = await _run_watched(
         node, call, caller, functools.partial(delivery.run, origin.delivery, call, passing)
     )
     if not is_gone and not ended.is_told and ended.result.verdict is not outcome.Verdict.ANSWERED:
-        why = f"{ended.result.verdict.value}:{ended.result.reason.value}"
-        extra = [(relay.REFUSED_HEADER, why.encode()), *relay.list_load(node)]
-        if ended.owner is not None:
-            extra.append((relay.OWNER_HEADER, ended.owner.encode()))
-        await refuse(caller, ended.result, ended.retry_after_s, extra)
+        return await _refuse_hop(origin, call, caller, ended, started_at)
+    _record(origin, call, ended.result, started_at, [node.place.node])
+    return ended.result
+
+
+async def _refuse_hop(
+    origin: Origin,
+    call: exchange.Call,
+    caller: exchange.Caller,
+    ended: delivery.Ended,
+    started_at: float,
+) -> outcome.Outcome:
+    """Tell another node that its request was not answered, and why."""
+    node = origin.node
+    why = f"{ended.result.verdict.value}:{ended.result.reason.value}"
+    extra = [(relay.REFUSED_HEADER, why.encode()), *relay.list_load(node)]
+    if ended.owner is not None:
+        extra.append((relay.OWNER_HEADER, ended.owner.encode()))
+    await refuse(caller, ended.result, ended.retry_after_s, extra)
     _record(origin, call, ended.result, started_at, [node.place.node])
     return ended.result
 
--- a/src/ebonyvalve/request/outcome.py
+++ b/src/ebonyvalve/request/outcome.py
@@ -39,6 +39,8 @@
     CALLER_GONE = "caller-gone"
     STOPPING = "stopping"
     DRAINED = "drained"
+    # The process is so short of processor time that the answer would come too late.
+    BEHIND = "behind"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/ebonyvalve/request/relay.py
+++ b/src/ebonyvalve/request/relay.py
@@ -5,7 +5,7 @@
 from ebonyvalve.connection import wire
 from ebonyvalve.process import decision, identity
 from ebonyvalve.process import node as node_module
-from ebonyvalve.process.load import choice
+from ebonyvalve.process.load import choice, pace
 from ebonyvalve.request import delivery, exchange, outcome
 
 log = logging.getLogger(__name__)
@@ -133,6 +133,7 @@
     :param node: the node.
     """
     load = node_module.measure(node)
-    work_ms = max(1, int(load.work_s * 1000))
+    # A node that is behind answers late however fast its target is.
+    work_ms = max(1, int((load.work_s + pace.expect_own(node.behind)) * 1000))
     value = f"{load.busy},{load.slots},{work_ms},{load.offered:.3f},{load.request_load:.5f}"
     return [(LOAD_HEADER, value.encode()), *list_seen(node)]
