--- a/src/ebonyvalve/process/keyspace/relief.py
+++ b/src/ebonyvalve/process/keyspace/relief.py
@@ -15,8 +15,11 @@
 BUSY = 0.6
 # A target this much busier than the mean is relieved; less is noise.
 UNEVEN = 1.2
-# A faster target is given keys up to this load, which leaves room for the usual bursts.
-COMFORT = 0.6
+# A faster target is given keys up to this load. When neighbours triple its work time for a moment,
+# it is still not asked for much more than it can do.
+COMFORT = 0.5
+# Above this mean load, bursts and hot keys decide; then all targets are to be equally busy.
+CALM = 0.5
 # Work times are known to within a quarter on either side.
 SLOWER = 1.6
 # Part of the difference that a move evens out. The rest is left to the next look, because rates
@@ -71,15 +74,25 @@
     :param others: the loads of those that may take keys now.
     :param mean: the mean load of all targets.
     """
-    is_busy = own.offered >= BUSY and own.offered >= UNEVEN * mean
-    most = max(COMFORT, mean) if is_busy else COMFORT
-    able = [one for one in others if one.offered < most]
+    able = [one for one in others if one.offered <= max(mean, COMFORT)]
     if not able:
         return None
-    heir = min(able, key=lambda one: (_expect_now(one), one.candidate.lifetime))
-    if is_busy and heir.offered <= mean:
-        return heir
-    return heir if _expect_now(own) > SLOWER * _expect_now(heir) else None
+    if is_busy(own):
+        least = min(able, key=lambda one: (one.offered, one.candidate.lifetime))
+        return least if own.offered >= UNEVEN * mean and least.offered <= mean else None
+    if mean > CALM:
+        return None
+    soonest = min(able, key=lambda one: (_expect_now(one), one.candidate.lifetime))
+    is_sooner = _expect_now(own) > SLOWER * _expect_now(soonest)
+    return soonest if is_sooner and soonest.offered < COMFORT else None
+
+
+def is_busy(load: Load) -> bool:
+    """Return whether a target is relieved although no other one is faster.
+
+    :param load: the target.
+    """
+    return load.offered >= BUSY
 
 
 def _expect_now(load: Load) -> float:
@@ -87,14 +100,15 @@
 
 
 def choose_rate(own: Load, heir: Load) -> float:
-    """Return how many requests a second should move, so that both answer equally soon.
-
-    A faster heir is not loaded beyond comfort for that, unless it would still be the less busy one.
+    """Return how many requests a second should move: to be as busy, or to answer as soon.
 
     :param own: the load of the target that gives keys.
     :param heir: the load of the one that gets them.
     """
-    low, high = 0.0, own.offered / own.request_load
+    if is_busy(own):
+        return (own.offered - heir.offered) / (own.request_load + heir.request_load)
+    # Others that are as slow have as good a claim to the heir's room.
+    low, high = 0.0, MOST_GIVEN * own.offered / own.request_load
     for _ in range(HALVINGS):
         rate = (low + high) / 2
         here_s = expect_answer(own, own.offered - rate * own.request_load)
@@ -102,12 +116,7 @@
             low = rate
         else:
             high = rate
-    if own.offered < BUSY:
-        # Others that are as slow have as good a claim to the heir's room.
-        low = min(low, MOST_GIVEN * own.offered / own.request_load)
-    comfortable = (COMFORT - heir.offered) / heir.request_load
-    even = (own.offered - heir.offered) / (own.request_load + heir.request_load)
-    return max(0.0, min(low, max(comfortable, even)))
+    return min(low, (COMFORT - heir.offered) / heir.request_load)
 
 
 def find_moves(
@@ -133,7 +142,9 @@
     busy = sorted(rates.items())
     pieces = [_list_rates(span, busy) for span in spans]
     moves: list[Move] = []
-    while len(moves) < MOST_MOVES:
+    # One that is only slower gives a part at a time, as the others of its kind do.
+    most = MOST_MOVES if is_busy(own) else 1
+    while len(moves) < most:
         heir = find_heir(own, left, mean=mean)
         if heir is None:
             break
