--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -41,6 +41,7 @@
 LEVEL_VARIABLE = "EBONYVALVE_LOG"
 METRICS_VARIABLE = "EBONYVALVE_METRICS_PORT"
 READY_PATH = "/readyz"
+LAST_PORT = 65_535
 # Two misses of one probe a second take a node out; requests may still come until then.
 LEAVE_S = 2.3
 # What is left of the grace for ending the process itself.
@@ -308,7 +309,7 @@
     :param place: from the settings.
     :param port: of the environment, or empty.
     """
-    if not port.isdecimal():
+    if not port.isdecimal() or int(port) > LAST_PORT:
         return None
     host, _ = network.split_address(place.ready_address)
     return identity.Address(f"{host}:{port}")
--- a/src/ebonyvalve/platform/tool.py
+++ b/src/ebonyvalve/platform/tool.py
@@ -78,7 +78,7 @@
     :param file: a configuration that would replace the one in force.
     :param against: the configuration in force; needed with ``file``.
     """
-    if evacuate is None and (file is None or against is None):
+    if (file is None) != (against is None) or (evacuate is None and file is None):
         print("give a zone to evacuate, or a file and the one that it is against", file=sys.stderr)
         return UNANSWERED
     seen = ask_survey(node)
--- a/src/ebonyvalve/process/node.py
+++ b/src/ebonyvalve/process/node.py
@@ -212,7 +212,8 @@
     view = node.views.get(name)
     if view is None:
         known = node.members.get(name)
-        view = node.views[name] = choice.View(slots=known.slots if known else 1)
+        slots = known.slots if known else 1
+        view = node.views[name] = choice.View(slots=slots, request_load=choice.FIRST_WORK_S / slots)
     return view
 
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -3,7 +3,9 @@
 import pytest
 
 from ebonyvalve.platform import dialect
+from ebonyvalve.process import identity
 from ebonyvalve.request import delivery
+from tests.request import test_origin
 
 SEALED = [(b"x-attempt-id", b"r1"), (b"x-response-seal", b"s")]
 
@@ -31,3 +33,14 @@
 ) -> None:
     """Only an answer that says so counts as not run."""
     assert dialect.judge(status, headers) is expected
+
+
+async def test_target_is_told_its_time_and_who_asks() -> None:
+    """In whole milliseconds, and at least one, whatever the caller has sent."""
+    call = test_origin.build_call(is_repeatable=True)
+    lifetime = identity.Lifetime("i-1@5")
+    headers = dict(dialect.dress(call, lifetime, 0.7004))
+    assert headers[dialect.BUDGET_MS] == b"700"
+    assert headers[dialect.EXPECT_TARGET] == b"i-1"
+    assert headers[dialect.CALLER] == b"lookup"
+    assert dict(dialect.dress(call, lifetime, 0.0))[dialect.BUDGET_MS] == b"1"
--- a/tests/process/keyspace/test_steward.py
+++ b/tests/process/keyspace/test_steward.py
@@ -342,6 +342,24 @@
     assert world.violations == []
 
 
+async def test_node_that_restarts_works_before_its_target_reports(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """What it needs is in the store: members, ledger, and its target's lifetime."""
+    world = await build_world(nursery)
+    machine = world.machines[0]
+    machine.is_frozen = True
+    stop_node(machine)
+    await trio.sleep(0.1)
+    nursery.start_soon(run_node, world, machine)
+    await trio.sleep(0.3)
+    assert machine.keeper is not None and machine.target is not None
+    node = machine.keeper.node
+    assert node.target is not None and node.target.is_assumed
+    assert node.target.lifetime == name_lifetime(machine.target)
+    assert SERVICE in node.books and len(node.members) == len(world.machines)
+
+
 async def test_store_away_for_nine_seconds(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
--- a/tests/request/test_delivery.py
+++ b/tests/request/test_delivery.py
@@ -1,5 +1,9 @@
 """Requests for keys that are on their way to the target beside this node."""
 
+import collections.abc
+import dataclasses
+
+import pytest
 import trio
 import trio.testing
 
@@ -52,6 +56,59 @@
     return await delivery.run(state, call, caller)
 
 
+def close_for_another_service(state: delivery.Delivery, call: exchange.Call) -> None:
+    call.service = identity.ServiceId("another")
+
+
+def close_by_evacuation(state: delivery.Delivery, call: exchange.Call) -> None:
+    zone = state.node.place.zone
+    node_module.set_evacuated(state.node, frozenset({zone}))
+
+
+def close_by_leaving(state: delivery.Delivery, call: exchange.Call) -> None:
+    target = state.node.target
+    assert target is not None
+    leaving = dataclasses.replace(target, state=member.TargetState.LEAVING)
+    node_module.set_target(state.node, leaving, 0.0)
+
+
+def close_by_ending(state: delivery.Delivery, call: exchange.Call) -> None:
+    state.node.is_ending = True
+
+
+@pytest.mark.parametrize(
+    ("close", "reason"),
+    [
+        (close_for_another_service, outcome.Reason.MOVED),
+        (close_by_evacuation, outcome.Reason.DRAINED),
+        (close_by_leaving, outcome.Reason.DRAINED),
+        (close_by_ending, outcome.Reason.STOPPING),
+    ],
+)
+async def test_closed_gate_refuses_truthfully(
+    autojump_clock: trio.testing.MockClock,
+    close: collections.abc.Callable[[delivery.Delivery, exchange.Call], None],
+    reason: outcome.Reason,
+) -> None:
+    """The gate is the only way to the target, so that what it refuses has not run.
+
+    A node may be asked for a service that its address had before, for a zone that is evacuated,
+    or for a target that leaves. Nothing is sent to the target.
+    """
+    state = build_delivery()
+    node_module.pulse(state.node)
+    call = build_call(2.0)
+    assert call.rules is not None
+    call.rules = dataclasses.replace(call.rules, slot=None)
+    close(state, call)
+    await trio.sleep(state.node.place.drain_s)
+    call.deadline_at_s = trio.current_time() + 2.0
+    ended = await run(state, call)
+    assert ended.result.verdict is outcome.Verdict.NOT_RUN
+    assert ended.result.reason is reason
+    assert not state.node.gate.starts
+
+
 async def test_request_that_ends_before_its_key_comes_is_refused_at_once(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
@@ -74,3 +131,26 @@
     ended = await run(state, build_call(2.0))
     assert ended.result.reason is outcome.Reason.LEASE_LAPSED
     assert 1.0 < trio.current_time() - started_at < 2.0
+
+
+async def test_target_is_told_no_more_time_than_is_left(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """A request may have waited before it is sent."""
+    state = build_delivery()
+    node_module.pulse(state.node)
+    told: list[float] = []
+
+    def dress(
+        call: exchange.Call, lifetime: identity.Lifetime, budget_s: float
+    ) -> exchange.Headers:
+        told.append(budget_s)
+        return []
+
+    state.dialect = dataclasses.replace(state.dialect, dress=dress)
+    call = build_call(2.0)
+    assert call.rules is not None
+    call.rules = dataclasses.replace(call.rules, slot=None)
+    await trio.sleep(1.25)
+    await run(state, call)
+    assert told == [pytest.approx(0.75)]
--- a/tests/request/test_origin.py
+++ b/tests/request/test_origin.py
@@ -166,3 +166,20 @@
     """An answer that says "not run" must be true of all attempts."""
     _, ended = await run(monkeypatch, [LOST, FULL], level=9.0, is_repeatable=True)
     assert ended.verdict is outcome.Verdict.UNKNOWN
+
+
+@pytest.mark.parametrize("reason", list(outcome.Reason))
+async def test_refusals_promise_no_more_than_they_keep(reason: outcome.Reason) -> None:
+    """A request that has not run for reasons of ours is told 503, whatever they are."""
+    told: list[int] = []
+
+    async def reply(status: int, headers: exchange.Headers) -> bool:
+        told.append(status)
+        return False
+
+    caller = exchange.Caller(
+        receive=None, reply=reply, write=None, finish=None, wait_gone=None, find_gone=None  # type: ignore[arg-type]
+    )
+    await origin.refuse(caller, outcome.refuse(reason), 1.0)
+    callers_own = {outcome.Reason.BAD_REQUEST: 400, outcome.Reason.NO_SUCH_SERVICE: 404}
+    assert told == [callers_own.get(reason, 503)]
