--- a/tests/request/test_origin.py
+++ b/tests/request/test_origin.py
@@ -160,6 +160,33 @@
     assert tried == tries
 
 
+async def test_repeats_of_a_service_keep_to_its_own_requests(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Load pattern: one service of several turns requests away, and has a tenth of all requests.
+
+    The budget counts by service, so that what other services earn is not for its repeats.
+    """
+    entry = build_origin(10.0)
+    entry.node.budget.share = 0.1
+
+    async def try_one(*_: object) -> delivery.Ended:
+        return delivery.Ended(result=SHED)
+
+    monkeypatch.setattr(origin, "_try_one", try_one)
+    caller = exchange.Caller(
+        receive=None, reply=None, write=None, finish=None, wait_gone=None, find_gone=None  # type: ignore[arg-type]
+    )
+    repeats = 0
+    for number in range(1000):
+        budget.earn(entry.node.budget)
+        if number % 10 == 0:
+            tried: list[identity.NodeId] = []
+            await origin._try_all(entry, build_call(is_repeatable=True), caller, tried)
+            repeats += len(tried) - 1
+    assert repeats <= 10 + 0.1 * 100
+
+
 async def test_refusal_after_a_lost_answer_is_no_refusal(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
