--- a/src/ebonyvalve/platform/tool.py
+++ b/src/ebonyvalve/platform/tool.py
@@ -15,8 +15,8 @@
 import trio
 
 from ebonyvalve.platform import configuration, sockets
-from ebonyvalve.process import http, identity, member, outlook, survey
-from ebonyvalve.version import traffic
+from ebonyvalve.process import http, identity, member, survey
+from ebonyvalve.version import outlook, traffic
 
 DONE = 0
 REFUSED = 1
--- a/tests/process/test_outlook.py
+++ b/tests/version/test_outlook.py
@@ -5,9 +5,9 @@
 import pytest
 
 from ebonyvalve.platform import configuration
-from ebonyvalve.process import identity, member, outlook, survey
+from ebonyvalve.process import identity, member, survey
 from ebonyvalve.process.keyspace import ledger
-from ebonyvalve.version import traffic
+from ebonyvalve.version import outlook, traffic
 from tests.platform import mesh
 
 SERVICE = identity.ServiceId("lookup")
