Make one of what the change had written twice

Cause, from reading the whole change once more: two modules sent a message to the service's other nodes; crashing requests had a second fingerprint beside request/quarantine.py, whose head of a body depended on how much of it was buffered; rows were named in four places; "open" targets, ages of loads and the route of another configuration were each worked out twice on the operators' side, one of them for each route and service anew; find_heir filtered before it filtered.

Change: process/push.py, records.name_member / name_book / name_lease, ledger.list_nodes, survey.is_open / describe / tell_load, traffic.find_same, tool._tell. The fingerprint uses blake2b in both front ends, because the platform's build has no xxhash; it is opaque and not stored.

What differs to the eye: `status` also says "passed by" of a target whose load was not told yet, and push-failed is logged by process.push.

The tests share what they had written twice as well: settings of a node (tests/places.py), the caller that is never asked, and the further machine; no assertion changes.

--- a/src/ebonyvalve/platform/tool.py
+++ b/src/ebonyvalve/platform/tool.py
@@ -34,6 +34,7 @@
     """
     found = read(file)
     reasons = found if isinstance(found, list) else []
+    changes: list[str] = []
     before: traffic.Traffic | None = None
     if against is not None:
         in_force = read(against)
@@ -44,12 +45,19 @@
     if isinstance(found, traffic.Traffic) and before is not None:
         if found.version <= before.version:
             reasons = [f"version {found.version} is not above {before.version}, which is in force"]
-        for line in traffic.list_changes(before, found):
-            print(f"changes {line}")
-    for reason in reasons:
-        print(f"refused {reason}")
+        changes = traffic.list_changes(before, found)
+    code = _tell(changes, reasons)
     noun = "reason" if len(reasons) == 1 else "reasons"
     print(f"refused, {len(reasons)} {noun}" if reasons else "accepted")
+    return code
+
+
+def _tell(changes: list[str], reasons: list[str]) -> int:
+    """Print what would change and the reasons against it; return the exit status."""
+    for line in changes:
+        print(f"changes {line}")
+    for reason in reasons:
+        print(f"refused {reason}")
     return REFUSED if reasons else DONE
 
 
@@ -97,11 +105,7 @@
         for unread in (after, before):
             if isinstance(unread, list):
                 reasons = reasons + unread
-    for line in changes:
-        print(f"changes {line}")
-    for reason in reasons:
-        print(f"refused {reason}")
-    return REFUSED if reasons else DONE
+    return _tell(changes, reasons)
 
 
 def status(node: str) -> int:
@@ -165,9 +169,7 @@
     line += known.state.value
     if known.state is member.TargetState.READY and known.zone in seen.evacuated:
         line += ", evacuated"
-    if peer.load_age_s is None:
-        return f"{line}, load not told yet"
-    line += f", load {peer.offered:.2f} told {peer.load_age_s:.1f} s ago"
+    line += f", {survey.tell_load(peer)}"
     return f"{line}, passed by for {peer.avoided_s:.1f} s" if peer.avoided_s else line
 
 
--- a/src/ebonyvalve/process/keyspace/ledger.py
+++ b/src/ebonyvalve/process/keyspace/ledger.py
@@ -92,6 +92,14 @@
     return [span for span in ledger.spans if span.holder == lifetime]
 
 
+def list_nodes(ledger: Ledger) -> set[identity.NodeId]:
+    """Return the nodes whose targets hold keys.
+
+    :param ledger: the ledger.
+    """
+    return {identity.NodeId(span.node) for span in ledger.spans if span.node}
+
+
 def vacate(ledger: Ledger, is_lost: collections.abc.Callable[[Span], bool]) -> Ledger:
     """Take spans from holders that can't serve them any more, without a handover.
 
--- a/src/ebonyvalve/process/keyspace/presence.py
+++ b/src/ebonyvalve/process/keyspace/presence.py
@@ -6,7 +6,7 @@
 
 import logging
 
-from ebonyvalve.process import decision, identity, member
+from ebonyvalve.process import decision, member
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import records
 from ebonyvalve.process.store import table
@@ -56,14 +56,14 @@
 async def _write(steward: records.Steward, own: member.Member, ended: list[member.Member]) -> bool:
     """Write the announcement and end those before it at once, so that others learn of both."""
     is_gone = own.state is member.TargetState.GONE
-    writes = {_name_member(own.node): None if is_gone else member.encode(own)}
+    writes = {records.name_member(own.node): None if is_gone else member.encode(own)}
     if ended:
         read = await steward.store.read(records.LEASES)
         if not isinstance(read, table.Rows):
             return False
-        leases = {table.Name(table=records.LEASES, key=one.node) for one in ended}
+        leases = {records.name_lease(one.node) for one in ended}
         writes.update(dict.fromkeys(leases & {row.name for row in read.rows}))
-        writes.update(dict.fromkeys(_name_member(one.node) for one in ended))
+        writes.update(dict.fromkeys(records.name_member(one.node) for one in ended))
     done = await steward.store.commit({}, writes)
     if not isinstance(done, table.Committed):
         return False
@@ -79,7 +79,3 @@
             reason="this node has its address",
         )
     return True
-
-
-def _name_member(name: identity.NodeId) -> table.Name:
-    return table.Name(table=records.MESH, key=records.MEMBER_PREFIX + name)
--- a/src/ebonyvalve/process/keyspace/records.py
+++ b/src/ebonyvalve/process/keyspace/records.py
@@ -5,10 +5,8 @@
 import logging
 
 import msgspec
-from returns import result
-import trio
 
-from ebonyvalve.process import budget, decision, http, identity, member, network
+from ebonyvalve.process import budget, decision, identity, member, network, push
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import lease, ledger
 from ebonyvalve.process.store import table
@@ -26,7 +24,30 @@
 # A store that refuses is asked again soon, since its outages end without notice.
 RETRY_S = 0.25
 LEDGER_PATH = "/ebonyvalve/ledger/"
-PUSH_TIMEOUT_S = 0.5
+
+
+def name_member(name: identity.NodeId) -> table.Name:
+    """Return the place of a node's announcement.
+
+    :param name: the node.
+    """
+    return table.Name(table=MESH, key=MEMBER_PREFIX + name)
+
+
+def name_book(service: identity.ServiceId) -> table.Name:
+    """Return the place of a service's ledger.
+
+    :param service: the service.
+    """
+    return table.Name(table=MESH, key=BOOK_PREFIX + service)
+
+
+def name_lease(name: identity.NodeId) -> table.Name:
+    """Return the place of a node's lease.
+
+    :param name: the node.
+    """
+    return table.Name(table=LEASES, key=name)
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -149,7 +170,7 @@
     if book is None or name not in node.leases:
         return
     # Its lease may have been removed with it; then its keys are free.
-    if any(span.node == name for span in book.ledger.spans):
+    if name in ledger.list_nodes(book.ledger):
         steward.has_doubtful_leases = True
 
 
@@ -221,25 +242,9 @@
             await changed.wait()
             continue
         steward.has_news = False
-        others = [
-            one.address
-            for one in node.members.values()
-            if one.service == node.place.service and one.node != node.place.node
-        ]
+        # One that is not told learns of it from the store a little later.
         path = f"{LEDGER_PATH}{node.place.service}/{book.version}"
-        request = http.Request(method="POST", path=path, body=ledger.encode(book.ledger))
-        async with trio.open_nursery() as nursery:
-            for address in others:
-                nursery.start_soon(_push, steward, address, request)
-
-
-async def _push(steward: Steward, address: identity.Address, request: http.Request) -> None:
-    sent = await http.fetch(steward.connect, address, request, timeout_s=PUSH_TIMEOUT_S)
-    if not isinstance(sent, result.Success):
-        # The node learns of it from the store a little later.
-        decision.record(
-            log, logging.INFO, "push-failed", address=address, cause=sent.failure().value
-        )
+        await push.send(node, steward.connect, path, ledger.encode(book.ledger))
 
 
 def take_push(steward: Steward, path: str, body: bytes) -> bool:
@@ -249,11 +254,11 @@
     :param path: names the service and the version.
     :param body: the ledger.
     """
-    service, _, version = path.removeprefix(LEDGER_PATH).rpartition("/")
-    name = table.Name(table=MESH, key=BOOK_PREFIX + service)
+    name, _, version = path.removeprefix(LEDGER_PATH).rpartition("/")
+    service = identity.ServiceId(name)
     try:
-        row = table.Row(name=name, value=body, version=int(version))
-        _take_book(steward, identity.ServiceId(service), row)
+        row = table.Row(name=name_book(service), value=body, version=int(version))
+        _take_book(steward, service, row)
     except (ValueError, msgspec.DecodeError) as exc:
         decision.record(log, logging.ERROR, "push-unreadable", path=path, cause=str(exc))
         return False
--- a/src/ebonyvalve/process/keyspace/relief.py
+++ b/src/ebonyvalve/process/keyspace/relief.py
@@ -74,17 +74,21 @@
     :param others: the loads of those that may take keys now.
     :param mean: the mean load of all targets.
     """
-    able = [one for one in others if one.offered <= max(mean, COMFORT)]
-    if not able:
-        return None
     if is_busy(own):
-        least = min(able, key=lambda one: (one.offered, one.candidate.lifetime))
-        return least if own.offered >= UNEVEN * mean and least.offered <= mean else None
+        if own.offered < UNEVEN * mean:
+            return None
+        idle = [one for one in others if one.offered <= mean]
+        return min(idle, key=lambda one: (one.offered, one.candidate.lifetime), default=None)
     if mean > CALM:
         return None
-    soonest = min(able, key=lambda one: (_expect_now(one), one.candidate.lifetime))
-    is_sooner = _expect_now(own) > SLOWER * _expect_now(soonest)
-    return soonest if is_sooner and soonest.offered < COMFORT else None
+    soonest = min(
+        (one for one in others if one.offered <= COMFORT),
+        key=lambda one: (_expect_now(one), one.candidate.lifetime),
+        default=None,
+    )
+    if soonest is None or soonest.offered >= COMFORT:
+        return None
+    return soonest if _expect_now(own) > SLOWER * _expect_now(soonest) else None
 
 
 def is_busy(load: Load) -> bool:
--- a/src/ebonyvalve/process/keyspace/steward.py
+++ b/src/ebonyvalve/process/keyspace/steward.py
@@ -71,7 +71,7 @@
     service = node.place.service
     book = node.books.get(service)
     situation = assess(steward)
-    name = table.Name(table=records.MESH, key=records.BOOK_PREFIX + service)
+    name = records.name_book(service)
     if book is None:
         if not situation.is_leader or not _has_gathered(steward, situation):
             return False
@@ -79,17 +79,16 @@
     proposed = plan.propose(book.ledger, situation)
     if proposed == book.ledger:
         return await _relieve_once(steward, name, book, situation)
-    taken = {span.node for span in book.ledger.spans if span.node and span.node in situation.over}
     # A node that is thought to have no lease must have none when its keys are taken.
     ended = {
-        table.Name(table=records.LEASES, key=lost): _read_lease_version(node, lost)
-        for lost in taken
+        records.name_lease(lost): _read_lease_version(node, lost)
+        for lost in ledger.list_nodes(book.ledger) & situation.over
     }
     return await _write(steward, name, book.version, proposed, ended)
 
 
-def _read_lease_version(node: node_module.Node, name: str) -> int:
-    known = node.leases.get(identity.NodeId(name))
+def _read_lease_version(node: node_module.Node, name: identity.NodeId) -> int:
+    known = node.leases.get(name)
     return table.MISSING if known is None else known.version
 
 
@@ -282,8 +281,7 @@
     if book is None or steward.leases_read_at == float("-inf"):
         return frozenset()
     known = {node.place.node, *node.leases, *node.members}
-    holders = {identity.NodeId(span.node) for span in book.ledger.spans if span.node}
-    return frozenset(holders - known)
+    return frozenset(ledger.list_nodes(book.ledger) - known)
 
 
 def _has_gathered(steward: records.Steward, situation: plan.Situation) -> bool:
--- a/src/ebonyvalve/process/keyspace/tenure.py
+++ b/src/ebonyvalve/process/keyspace/tenure.py
@@ -62,7 +62,7 @@
         await read_leases(steward)
         if node.clock is None:
             return False
-    name = table.Name(table=records.LEASES, key=node.place.node)
+    name = records.name_lease(node.place.node)
     until_s = lease.renew(steward.lease_row, node.clock, node.now())
     measured = node_module.measure(node)
     row = lease.LeaseRow(
--- /dev/null
+++ b/src/ebonyvalve/process/push.py
@@ -0,0 +1,38 @@
+"""Tells the other nodes of the own service what they should not wait for."""
+
+import logging
+
+from returns import result
+import trio
+
+from ebonyvalve.process import decision, http, identity, network
+from ebonyvalve.process import node as node_module
+
+log = logging.getLogger(__name__)
+
+TIMEOUT_S = 0.5
+
+
+async def send(node: node_module.Node, connect: network.Connect, path: str, body: bytes) -> None:
+    """Send a message to all other nodes of the own service; one that is lost is not repeated.
+
+    :param node: the node.
+    :param connect: opens a connection.
+    :param path: names the message.
+    :param body: the message.
+    """
+    request = http.Request(method="POST", path=path, body=body)
+    async with trio.open_nursery() as nursery:
+        for one in node.members.values():
+            if one.service == node.place.service and one.node != node.place.node:
+                nursery.start_soon(_send_one, connect, one.address, request)
+
+
+async def _send_one(
+    connect: network.Connect, address: identity.Address, request: http.Request
+) -> None:
+    sent = await http.fetch(connect, address, request, timeout_s=TIMEOUT_S)
+    if not isinstance(sent, result.Success):
+        decision.record(
+            log, logging.INFO, "push-failed", address=address, cause=sent.failure().value
+        )
--- a/src/ebonyvalve/process/survey.py
+++ b/src/ebonyvalve/process/survey.py
@@ -53,14 +53,19 @@
         refused=node.refused,
         evacuated=tuple(sorted(node.evacuated)),
         keyed=tuple(sorted(name for name, known in node.policies.items() if known.is_keyed)),
-        peers=tuple(_describe(node, node.members[name]) for name in sorted(node.members)),
+        peers=tuple(describe(node, node.members[name]) for name in sorted(node.members)),
         ledgers={name: book.ledger for name, book in node.books.items()},
         versions={name: book.version for name, book in node.books.items()},
         gauges=node_module.list_gauges(node),
     )
 
 
-def _describe(node: node_module.Node, known: member.Member) -> Peer:
+def describe(node: node_module.Node, known: member.Member) -> Peer:
+    """Return what a node knows of a target.
+
+    :param node: the node.
+    :param known: the target, as its node announces it.
+    """
     if known.node == node.place.node:
         return Peer(member=known, offered=node_module.measure(node).offered, load_age_s=0.0)
     now = node.now()
@@ -74,6 +79,26 @@
     )
 
 
+def is_open(survey: Survey, peer: Peer) -> bool:
+    """Return whether a target takes new work.
+
+    :param survey: what a node believes.
+    :param peer: the target.
+    """
+    known = peer.member
+    return known.state is member.TargetState.READY and known.zone not in survey.evacuated
+
+
+def tell_load(peer: Peer) -> str:
+    """Return a target's load and how old that is, in words.
+
+    :param peer: the target.
+    """
+    if peer.load_age_s is None:
+        return "load not told yet"
+    return f"load {peer.offered:.2f} told {peer.load_age_s:.1f} s ago"
+
+
 def encode(survey: Survey) -> bytes:
     """Return a survey as bytes.
 
--- a/src/ebonyvalve/request/crash.py
+++ b/src/ebonyvalve/request/crash.py
@@ -2,7 +2,6 @@
 
 import collections
 import dataclasses
-import hashlib
 import logging
 
 import msgspec
@@ -10,10 +9,10 @@
 import trio
 
 from ebonyvalve.connection import pool
-from ebonyvalve.process import decision, http, identity, network
+from ebonyvalve.process import decision, identity, network, push
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.load import suspicion
-from ebonyvalve.request import exchange
+from ebonyvalve.request import exchange, quarantine
 
 log = logging.getLogger(__name__)
 
@@ -23,8 +22,6 @@
 CONFIRM_S = 0.1
 # The connections of a crashed target break together; the crash is confirmed soon after.
 BROKEN_MEMORY_S = 1.0
-PUSH_TIMEOUT_S = 0.5
-DIGEST_BYTES = 16
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -78,15 +75,15 @@
 
     :param call: the request; only the beginning of its body counts.
     """
-    rules = call.rules
-    slot = "" if rules is None or rules.slot is None else str(rules.slot)
-    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for field in (call.service, slot, call.method, call.path, str(call.length)):
-        raw = field.encode("utf-8", "surrogateescape")
-        # Each field follows its length, so that no two lists of fields give the same input.
-        digest.update(len(raw).to_bytes(4, "big") + raw)
-    digest.update(call.prefix)
-    return identity.Fingerprint(digest.hexdigest())
+    slot = call.rules.slot if call.rules is not None else None
+    return quarantine.fingerprint(
+        service=call.service,
+        key=None if slot is None else identity.KeyId(str(slot)),
+        method=call.method,
+        path=call.path,
+        length=call.length,
+        head=call.prefix,
+    )
 
 
 async def run(watch: Watch) -> None:
@@ -136,20 +133,8 @@
         return
     suspicion.note_crash(watch.suspected, suspects, now)
     decision.record(log, logging.WARNING, "target-crashed", suspects=len(suspects))
-    request = http.Request(method="POST", path=CRASH_PATH, body=msgspec.json.encode(suspects))
-    async with trio.open_nursery() as nursery:
-        for one in node.members.values():
-            if one.service == node.place.service and one.node != node.place.node:
-                nursery.start_soon(_push, watch, one.address, request)
-
-
-async def _push(watch: Watch, address: identity.Address, request: http.Request) -> None:
-    sent = await http.fetch(watch.connect, address, request, timeout_s=PUSH_TIMEOUT_S)
-    if not isinstance(sent, result.Success):
-        # That node has one crash less to judge by.
-        decision.record(
-            log, logging.INFO, "push-failed", address=address, cause=sent.failure().value
-        )
+    # A node that is not told has one crash less to judge by.
+    await push.send(node, watch.connect, CRASH_PATH, msgspec.json.encode(suspects))
 
 
 def take_push(watch: Watch, body: bytes) -> bool:
--- a/src/ebonyvalve/request/explanation.py
+++ b/src/ebonyvalve/request/explanation.py
@@ -2,7 +2,7 @@
 
 import collections.abc
 
-from ebonyvalve.process import identity, member
+from ebonyvalve.process import identity, member, survey
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import ledger
 from ebonyvalve.request import origin
@@ -78,6 +78,7 @@
 def _explain_target(node: node_module.Node, known: member.Member) -> collections.abc.Iterator[str]:
     now = node.now()
     view = node_module.read_view(node, known.node)
+    peer = survey.describe(node, known)
     says = f"  {known.node} in {known.zone}: target {known.lifetime} is {known.state.value}"
     if known.zone in node.evacuated:
         says += ", its zone is evacuated"
@@ -86,8 +87,6 @@
     if now < view.full_until:
         says += f", full for {view.full_until - now:.2f} s"
     if known.node == node.place.node:
-        yield f"{says}, beside this node, load {node_module.measure(node).offered:.2f}"
-        return
-    age_s = now - view.reported_at
-    told = f"load {view.offered:.2f} told {age_s:.1f} s ago" if age_s < 1e9 else "load not told yet"
-    yield f"{says}, {told}"
+        yield f"{says}, beside this node, load {peer.offered:.2f}"
+    else:
+        yield f"{says}, {survey.tell_load(peer)}"
--- a/src/ebonyvalve/request/quarantine.py
+++ b/src/ebonyvalve/request/quarantine.py
@@ -1,11 +1,13 @@
 """Fingerprints of requests, by which requests that crash targets are recognised."""
 
-import xxhash
+import hashlib
 
 from ebonyvalve.process import identity
 
 # The front buffers this much of a body; a longer one is told apart by its length only.
 HEAD_BYTES = 4096
+# Two different requests never share a fingerprint by chance.
+DIGEST_BYTES = 16
 
 
 def fingerprint(
@@ -26,7 +28,7 @@
     :param length: the body's announced length in bytes, or ``None`` if it is not announced.
     :param head: the start of the body; only the first 4 KiB count.
     """
-    digest = xxhash.xxh3_128()
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
     for field in (service, key or "", method, path, "" if length is None else str(length)):
         raw = field.encode("utf-8", "surrogateescape")
         # Each field follows its length, so that no two lists of fields give the same input.
--- a/src/ebonyvalve/version/outlook.py
+++ b/src/ebonyvalve/version/outlook.py
@@ -4,7 +4,7 @@
 import collections.abc
 import dataclasses
 
-from ebonyvalve.process import identity, member, survey
+from ebonyvalve.process import identity, survey
 from ebonyvalve.process.keyspace import ledger
 from ebonyvalve.version import traffic
 
@@ -31,11 +31,7 @@
         outlook.reasons.append(f"zone {zone}: no target is known there")
     if zone in seen.evacuated:
         outlook.reasons.append(f"zone {zone}: is evacuated already")
-    open_ = [
-        peer
-        for peer in seen.peers
-        if peer.member.state is member.TargetState.READY and peer.member.zone not in seen.evacuated
-    ]
+    open_ = [peer for peer in seen.peers if survey.is_open(seen, peer)]
     for service in sorted({peer.member.service for peer in open_}):
         present = [peer for peer in open_ if peer.member.service == service]
         leaving = [peer for peer in present if peer.member.zone == zone]
@@ -53,21 +49,18 @@
     :param after: the one that would replace it.
     """
     outlook = Outlook(changes=[], reasons=[])
-    known = {(route.host, route.prefix): route for route in before.routes}
+    counts = collections.Counter(
+        peer.member.service for peer in seen.peers if survey.is_open(seen, peer)
+    )
     for route in after.routes:
-        old = known.get((route.host, route.prefix))
+        old = traffic.find_same(before, route)
         was = {} if old is None else traffic.read_parts(old)
         will = traffic.read_parts(route)
         for service in sorted(was.keys() | will.keys()):
             change = will.get(service, 0.0) - was.get(service, 0.0)
             if not change:
                 continue
-            count = sum(
-                peer.member.service == service
-                and peer.member.state is member.TargetState.READY
-                and peer.member.zone not in seen.evacuated
-                for peer in seen.peers
-            )
+            count = counts[service]
             place = f"{route.host}{route.prefix}"
             if count:
                 outlook.changes.append(
--- a/src/ebonyvalve/version/traffic.py
+++ b/src/ebonyvalve/version/traffic.py
@@ -117,6 +117,15 @@
     return None
 
 
+def find_same(traffic: Traffic, route: Route) -> Route | None:
+    """Return the route that has the same host and prefix as one of another configuration.
+
+    :param traffic: the configuration to look in.
+    :param route: the other configuration's route.
+    """
+    return traffic.by_host.get(route.host, {}).get(route.prefix)
+
+
 def pick_service(route: Route, draw: float) -> identity.ServiceId:
     """Return the service of one request, by the weights of the route.
 
@@ -179,19 +188,18 @@
     :param before: the configuration in force.
     :param after: the one that would replace it.
     """
-    old = {(route.host, route.prefix): route for route in before.routes}
-    new = {(route.host, route.prefix): route for route in after.routes}
     lines = [
-        f"{host}{prefix}: its callers would be told 404; route {route.name!r} goes"
-        for (host, prefix), route in old.items()
-        if (host, prefix) not in new
+        f"{route.host}{route.prefix}: its callers would be told 404; route {route.name!r} goes"
+        for route in before.routes
+        if find_same(after, route) is None
     ]
-    for (host, prefix), route in new.items():
-        known = old.get((host, prefix))
+    for route in after.routes:
+        place = f"{route.host}{route.prefix}"
+        known = find_same(before, route)
         if known is None:
-            lines.append(f"{host}{prefix}: new, to {_describe_shares(route)}")
+            lines.append(f"{place}: new, to {_describe_shares(route)}")
             continue
-        lines.extend(f"{host}{prefix}: {text}" for text in _list_route_changes(known, route))
+        lines.extend(f"{place}: {text}" for text in _list_route_changes(known, route))
     for name, service in after.services.items():
         was = before.services.get(name)
         if was is not None and was.is_keyed != service.is_keyed:
--- a/tests/process/keyspace/test_steward.py
+++ b/tests/process/keyspace/test_steward.py
@@ -11,16 +11,16 @@
 import trio.testing
 
 from ebonyvalve.platform import store as store_module
-from ebonyvalve.process import budget, http, identity, member, place, timer
+from ebonyvalve.process import budget, http, identity, member, timer
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant, lease, ledger, presence, records, steward, tenure
 from ebonyvalve.process.load import gate, heat, policy
 from ebonyvalve.standin import metadata
+from tests import places
 
 SERVICE = identity.ServiceId("lookup")
 HEARTBEAT_S = 0.9
 ANSWER_LIMIT_S = 1.0
-MOST_HOLD_S = 10.0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -60,26 +60,6 @@
     violations: list[str] = dataclasses.field(default_factory=list)
 
 
-def build_place(name: identity.NodeId, address: str) -> place.Place:
-    address = identity.Address(address or f"{name}:1")
-    return place.Place(
-        node=name,
-        zone=identity.ZoneId("z1"),
-        service=SERVICE,
-        target_address=address,
-        callers_address=address,
-        peers_address=address,
-        ready_address=address,
-        reports_address=address,
-        store_address=identity.Address("store:1"),
-        heartbeat_s=HEARTBEAT_S,
-        most_hold_s=MOST_HOLD_S,
-        drain_s=2.0,
-        grace_s=6.0,
-        retries=place.RetryAllowance(),
-    )
-
-
 POLICY = policy.ServicePolicy(
     name=SERVICE,
     is_keyed=True,
@@ -119,7 +99,13 @@
     wakeups = timer.Timer(clock=now)
     rng = random.Random(machine.number)
     node = node_module.Node(
-        place=build_place(machine.name, machine.address),
+        place=places.build_place(
+            machine.name,
+            SERVICE,
+            machine.address or f"{machine.name}:1",
+            heartbeat_s=HEARTBEAT_S,
+            store="store:1",
+        ),
         incarnation=identity.Incarnation(str(next(world.births))),
         wakeups=wakeups,
         now=now,
@@ -267,6 +253,21 @@
     machine.scope.cancel()
 
 
+def lose_machine(machine: Machine) -> None:
+    """End a node and its target without a word."""
+    stop_node(machine)
+    machine.target = None
+
+
+def add_machine(world: World, *, address: str = "") -> Machine:
+    """Start a further node with its target."""
+    machine = Machine(name=identity.NodeId("n9"), number=9, address=address)
+    world.machines.append(machine)
+    world.nursery.start_soon(run_node, world, machine)
+    start_target(world, machine)
+    return machine
+
+
 def is_whole(world: World) -> bool:
     return count_held(world) == identity.LAST_SLOT + 1
 
@@ -320,8 +321,7 @@
     """Without the node nobody can say more than when its lease ends."""
     world = await build_world(nursery)
     machine = world.machines[0]
-    stop_node(machine)
-    machine.target = None
+    lose_machine(machine)
     assert await wait_whole(world, 18.0) < lease.LEASE_S + lease.RENEW_S + 1.5
     assert world.violations == []
 
@@ -396,10 +396,7 @@
 ) -> None:
     """A target that joins takes its part."""
     world = await build_world(nursery)
-    machine = Machine(name=identity.NodeId("n9"), number=9)
-    world.machines.append(machine)
-    nursery.start_soon(run_node, world, machine)
-    start_target(world, machine)
+    machine = add_machine(world)
     await trio.sleep(6.0)
     assert machine.target is not None and machine.target.holds
     assert world.violations == []
@@ -443,13 +440,9 @@
     world = await build_world(nursery)
     world.is_connected = True
     lost = world.machines[0]
-    stop_node(lost)
-    lost.target = None
+    lose_machine(lost)
     await trio.sleep(2.0)
-    heir = Machine(name=identity.NodeId("n9"), number=9, address=f"{lost.name}:1")
-    world.machines.append(heir)
-    nursery.start_soon(run_node, world, heir)
-    start_target(world, heir)
+    add_machine(world, address=f"{lost.name}:1")
     while ("mesh", "", "member/n9") not in world.state.rows:  # noqa: ASYNC110
         await trio.sleep(0.05)
     assert await wait_whole(world, 18.0) < RECOVERY_S + HEARTBEAT_S
@@ -463,12 +456,8 @@
     world = await build_world(nursery)
     lost = world.machines[0]
     row = world.state.rows[("mesh", "", f"member/{lost.name}")].value
-    stop_node(lost)
-    lost.target = None
-    heir = Machine(name=identity.NodeId("n9"), number=9, address=f"{lost.name}:1")
-    world.machines.append(heir)
-    nursery.start_soon(run_node, world, heir)
-    start_target(world, heir)
+    lose_machine(lost)
+    heir = add_machine(world, address=f"{lost.name}:1")
     await trio.sleep(4.0)
     metadata.put(world.state, "mesh", f"member/{lost.name}", row)
     await trio.sleep(2.0)
--- a/tests/request/test_delivery.py
+++ b/tests/request/test_delivery.py
@@ -50,10 +50,7 @@
 
 
 async def run(state: delivery.Delivery, call: exchange.Call) -> delivery.Ended:
-    caller = exchange.Caller(
-        receive=None, reply=None, write=None, finish=None, wait_gone=None, find_gone=None  # type: ignore[arg-type]
-    )
-    return await delivery.run(state, call, caller)
+    return await delivery.run(state, call, test_origin.NO_CALLER)
 
 
 def close_for_another_service(state: delivery.Delivery, call: exchange.Call) -> None:
--- a/tests/request/test_origin.py
+++ b/tests/request/test_origin.py
@@ -1,40 +1,32 @@
 """Attempts at several targets: what may be repeated, and what the shared budget allows."""
 
 import collections.abc
+import dataclasses
 
 import pytest
 import trio
 
 from ebonyvalve.connection import pool
-from ebonyvalve.process import budget, identity, member, place, timer
+from ebonyvalve.process import budget, identity, member, timer
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant
 from ebonyvalve.process.load import gate, heat
 from ebonyvalve.request import crash, delivery, exchange, origin, outcome
 from ebonyvalve.version import traffic
+from tests import places
 
 ORDERS = identity.ServiceId("orders")
 NAMES = [identity.NodeId(f"n{number}") for number in range(4)]
 
+# For what ends before anything is said to the caller or asked of it.
+NO_CALLER = exchange.Caller(
+    receive=None, reply=None, write=None, finish=None, wait_gone=None, find_gone=None  # type: ignore[arg-type]
+)
+
 
 def build_origin(level: float) -> origin.Origin:
-    address = identity.Address("10.0.0.1:1")
-    own = place.Place(
-        node=identity.NodeId("me"),
-        zone=identity.ZoneId("z1"),
-        service=identity.ServiceId("lookup"),
-        target_address=address,
-        callers_address=address,
-        peers_address=address,
-        ready_address=address,
-        reports_address=address,
-        store_address=address,
-        heartbeat_s=1.0,
-        most_hold_s=10.0,
-        drain_s=2.0,
-        grace_s=6.0,
-        retries=place.RetryAllowance(),
-    )
+    address = "10.0.0.1:1"
+    own = places.build_place("me", "lookup", address, heartbeat_s=1.0, store=address)
     wakeups = timer.Timer(clock=trio.current_time)
     node = node_module.Node(
         place=own,
@@ -118,11 +110,8 @@
 
     monkeypatch.setattr(origin, "_try_one", try_one)
     tried: list[identity.NodeId] = []
-    caller = exchange.Caller(
-        receive=None, reply=None, write=None, finish=None, wait_gone=None, find_gone=None  # type: ignore[arg-type]
-    )
     call = build_call(is_repeatable=is_repeatable)
-    ended = await origin._try_all(entry, call, caller, tried)
+    ended = await origin._try_all(entry, call, NO_CALLER, tried)
     return len(tried), ended.result
 
 
@@ -174,15 +163,12 @@
         return delivery.Ended(result=SHED)
 
     monkeypatch.setattr(origin, "_try_one", try_one)
-    caller = exchange.Caller(
-        receive=None, reply=None, write=None, finish=None, wait_gone=None, find_gone=None  # type: ignore[arg-type]
-    )
     repeats = 0
     for number in range(1000):
         budget.earn(entry.node.budget)
         if number % 10 == 0:
             tried: list[identity.NodeId] = []
-            await origin._try_all(entry, build_call(is_repeatable=True), caller, tried)
+            await origin._try_all(entry, build_call(is_repeatable=True), NO_CALLER, tried)
             repeats += len(tried) - 1
     assert repeats <= 10 + 0.1 * 100
 
@@ -204,9 +190,7 @@
         told.append(status)
         return False
 
-    caller = exchange.Caller(
-        receive=None, reply=reply, write=None, finish=None, wait_gone=None, find_gone=None  # type: ignore[arg-type]
-    )
+    caller = dataclasses.replace(NO_CALLER, reply=reply)
     await origin.refuse(caller, outcome.refuse(reason), 1.0)
     callers_own = {outcome.Reason.BAD_REQUEST: 400, outcome.Reason.NO_SUCH_SERVICE: 404}
     assert told == [callers_own.get(reason, 503)]
