Log what ended an attempt that brought no whole answer

A broken exchange left one line with reason=connection-lost. Each attempt without a whole answer now writes event=attempt with ended_by, the time since the answer's head, the bytes passed on and the time left; event=request says told=True when the caller's connection was closed instead of a refusal. The lines count against the limit of lines of single requests. No decision changes: the reason for which the node gave a connection up was a flag and is now named (pool.Cut).

--- a/src/ebonyvalve/connection/pool.py
+++ b/src/ebonyvalve/connection/pool.py
@@ -18,6 +18,13 @@
 CONNECT_TIMEOUT_S = 0.25
 
 
+class Cut(enum.Enum):
+    """Why the node itself ended a request on a connection."""
+
+    SILENT = "silent"
+    UNREACHABLE = "unreachable"
+
+
 class PoolFailure(enum.Enum):
     """Why there is no connection."""
 
@@ -31,13 +38,14 @@
     """One connection with what the policy knows of it.
 
     ``scope`` covers its present request, and ``is_repeatable`` says that this may be sent again.
+    ``cut`` says why that request was ended before its answer was whole, if it was.
     """
 
     name: liveness.ConnectionId
     life: liveness.Connection
     scope: trio.CancelScope
     conn: wire.Wire | None = None
-    is_silent: bool = False
+    cut: Cut | None = None
     is_repeatable: bool = True
 
 
@@ -185,7 +193,7 @@
             await discard(pool, address, slots[name])
         lives = {name: slot.life for name, slot in slots.items()}
         for name in liveness.find_silent(lives, now=pool.now(), p99_s=p99_s):
-            slots[name].is_silent = True
+            slots[name].cut = Cut.SILENT
             slots[name].scope.cancel()
             decision.record(
                 log,
@@ -223,7 +231,7 @@
     """
     for slot in pool.slots.get(address, {}).values():
         if slot.life.phase is not liveness.Phase.IDLE and (slot.is_repeatable or with_orders):
-            slot.is_silent = True
+            slot.cut = Cut.UNREACHABLE
             slot.scope.cancel()
 
 
--- a/src/ebonyvalve/process/observation/output.py
+++ b/src/ebonyvalve/process/observation/output.py
@@ -12,7 +12,7 @@
 LINES_PER_S = 50.0
 BURST_LINES = 500.0
 # Only lines of single requests may be left out; each of the others says what the process believes.
-LIMITED_EVENTS = frozenset({"request"})
+LIMITED_EVENTS = frozenset({"request", "attempt"})
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/src/ebonyvalve/request/attempt.py
+++ b/src/ebonyvalve/request/attempt.py
@@ -2,14 +2,17 @@
 
 import collections.abc
 import dataclasses
+import logging
 
 from returns import result
 import trio
 
 from ebonyvalve.connection import pool
-from ebonyvalve.process import identity
+from ebonyvalve.process import decision, identity
 from ebonyvalve.request import dispatch, exchange, outcome
 
+log = logging.getLogger(__name__)
+
 # Answers of targets that work for 100 to 200 ms and wait in queues; probes of the kernel find
 # silent connections sooner than missing answers do.
 SLOW_ANSWER_S = 0.75
@@ -36,14 +39,15 @@
 class Result:
     """An attempt with the reasons for which it may have been cut short.
 
-    ``is_ended`` stays false when the attempt was cancelled from outside.
+    ``is_ended`` stays false when the attempt was cancelled from outside. ``cut`` says why the node
+    gave up its connection, if it did.
     """
 
     attempt: dispatch.Attempt = dataclasses.field(default_factory=dispatch.Attempt)
     is_ended: bool = False
     failure: pool.PoolFailure | None = None
     is_late: bool = False
-    is_silent: bool = False
+    cut: pool.Cut | None = None
 
 
 async def run(
@@ -64,6 +68,19 @@
     :param now: returns the time in seconds.
     :param ended: receives the result.
     """
+    try:
+        await _run_once(way, call, caller, now, ended)
+    finally:
+        _record(way, call, ended, now())
+
+
+async def _run_once(
+    way: Way,
+    call: exchange.Call,
+    caller: exchange.Caller,
+    now: collections.abc.Callable[[], float],
+    ended: Result,
+) -> None:
     with trio.move_on_after(max(call.deadline_at_s - now(), 0)) as scope:
         acquired = await pool.acquire(
             way.pool, way.address, p99_s=way.p99_s, max_idle_s=way.max_idle_s
@@ -88,7 +105,7 @@
                     is_foreign=way.is_foreign,
                 )
         finally:
-            ended.is_silent = slot.is_silent
+            ended.cut = slot.cut
             # Most connections are kept, which needs no waiting and so no shield.
             if not pool.keep(way.pool, slot):
                 with trio.CancelScope(shield=True):
@@ -97,6 +114,40 @@
     ended.is_ended = True
 
 
+def _record(way: Way, call: exchange.Call, ended: Result, now: float) -> None:
+    """Log an attempt that brought no whole answer, with what ended it and how far it had come."""
+    attempt = ended.attempt
+    if attempt.step in (dispatch.Step.RELAYED, dispatch.Step.WITHHELD):
+        return
+    head_at = attempt.head_at_s
+    decision.record(
+        log,
+        logging.INFO,
+        "attempt",
+        id=call.request_id,
+        address=way.address,
+        step=attempt.step,
+        ended_by=_find_end(ended),
+        sent=attempt.is_sent,
+        since_head_ms=None if head_at is None else int((now - head_at) * 1000),
+        body_bytes=attempt.body_bytes,
+        left_ms=int((call.deadline_at_s - now) * 1000),
+    )
+
+
+def _find_end(ended: Result) -> str:
+    """Return what ended an attempt: this node, its caller, or the other end of the connection."""
+    if ended.failure is not None:
+        return ended.failure.value
+    if ended.cut is not None:
+        return ended.cut.value
+    if ended.is_late:
+        return "deadline"
+    if not ended.is_ended:
+        return "cancelled"
+    return "caller" if ended.attempt.step is dispatch.Step.CALLER_GONE else "other-end"
+
+
 def conclude(ended: Result) -> exchange.Ended:
     """Return what an attempt without a decided answer means for the request.
 
--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -290,7 +290,7 @@
     if ended.attempt.step is dispatch.Step.WITHHELD:
         return _conclude_withheld(node, judged[0])
     concluded = attempt.conclude(ended)
-    if concluded.result.reason is outcome.Reason.CONNECTION_LOST and not ended.is_silent:
+    if concluded.result.reason is outcome.Reason.CONNECTION_LOST and ended.cut is None:
         crash.note_broken(delivery.crashes, call)
     return Ended(result=concluded.result, is_told=concluded.is_told)
 
--- a/src/ebonyvalve/request/dispatch.py
+++ b/src/ebonyvalve/request/dispatch.py
@@ -53,6 +53,8 @@
     is_sent: bool = False
     is_body_open: bool = False
     is_reply_begun: bool = False
+    # What the caller's end has taken of the answer's body.
+    body_bytes: int = 0
     head_at_s: float | None = None
 
 
@@ -234,6 +236,7 @@
         event = received.unwrap()
         if isinstance(event, h11.Data):
             is_there = await caller.write(bytes(event.data))
+            attempt.body_bytes += len(event.data)
         elif isinstance(event, h11.EndOfMessage):
             is_there = await caller.finish()
             attempt.step = Step.RELAYED if is_there else Step.CALLER_GONE
--- a/src/ebonyvalve/request/local.py
+++ b/src/ebonyvalve/request/local.py
@@ -372,9 +372,7 @@
         dispatch.Step.SEND_FAILED,
         dispatch.Step.LOST_IN_REPLY,
     )
-    return (
-        ended.is_ended and attempt.is_sent and is_broken and not (ended.is_late or ended.is_silent)
-    )
+    return ended.is_ended and attempt.is_sent and is_broken and not (ended.is_late or ended.cut)
 
 
 async def _check_crash(
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -133,7 +133,7 @@
         # Callers that were refused together must not come back together.
         spread = 1.0 + RETRY_SPREAD * (origin.node.draw() - 0.5)
         await refuse(caller, result, ended.retry_after_s * spread)
-    _record(origin, call, result, started_at, tried)
+    _record(origin, call, result, started_at, tried, is_told=told)
     return result
 
 
@@ -418,7 +418,10 @@
     result: outcome.Outcome,
     started_at: float,
     tried: collections.abc.Sequence[identity.NodeId],
+    *,
+    is_told: bool = False,
 ) -> None:
+    """Log and count the end of a request; ``is_told`` says that an answer to it had begun."""
     node = origin.node
     is_answered = result.verdict is outcome.Verdict.ANSWERED
     took_s = node.now() - started_at
@@ -436,6 +439,7 @@
         outcome=result.verdict,
         reason=result.reason,
         status=result.status,
+        told=is_told,
         tried=",".join(tried),
         took_ms=int(took_s * 1000),
         ledger=book.version if book is not None else None,
--- /dev/null
+++ b/tests/request/test_attempt.py
@@ -0,0 +1,67 @@
+"""What is logged of attempts that bring no whole answer."""
+
+import collections.abc
+import logging
+
+import pytest
+import trio
+import trio.testing
+
+from ebonyvalve.connection import pool
+from ebonyvalve.process import identity
+from ebonyvalve.request import attempt, exchange
+from tests.request import test_origin
+
+ADDRESS = identity.Address("10.0.0.2:1")
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n"
+
+
+async def give_up(state: pool.Pool) -> None:
+    pool.abandon(state, ADDRESS, with_orders=True)
+
+
+async def wait(state: pool.Pool) -> None:
+    await trio.sleep(10.0)
+
+
+@pytest.mark.parametrize(
+    ("end", "closes", "ended_by"),
+    [(give_up, False, "unreachable"), (wait, False, "deadline"), (wait, True, "other-end")],
+)
+async def test_end_of_a_broken_answer_can_be_told_from_the_log(
+    autojump_clock: trio.testing.MockClock,
+    caplog: pytest.LogCaptureFixture,
+    end: collections.abc.Callable[[pool.Pool], collections.abc.Awaitable[None]],
+    closes: bool,
+    ended_by: str,
+) -> None:
+    """An answer that broke off left one line, which named neither the end that broke it nor why."""
+    caplog.set_level(logging.INFO)
+    ours, theirs = trio.testing.memory_stream_pair()
+
+    async def connect(_: str) -> trio.abc.Stream:
+        return ours
+
+    async def take(*_: object) -> bool:
+        return True
+
+    state = pool.Pool(connect=connect, now=trio.current_time)
+    call = test_origin.build_call(is_repeatable=True)
+    caller = exchange.Caller(
+        receive=None, reply=take, write=take, finish=take, wait_gone=None, find_gone=None  # type: ignore[arg-type]
+    )
+    way = attempt.Way(pool=state, address=ADDRESS, extra=[], relay=lambda status, headers: headers)
+    call.headers = [(b"host", b"x")]
+    ended = attempt.Result()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(attempt.run, way, call, caller, trio.current_time, ended)
+        await theirs.send_all(HEAD + b"begin")
+        await trio.sleep(0.1)
+        if closes:
+            await theirs.aclose()
+        await end(state)
+    (entry,) = [one for one in caplog.records if one.getMessage() == "attempt"]
+    fields = entry.__dict__["fields"]
+    assert fields["ended_by"] == ended_by
+    assert fields["body_bytes"] == len(b"begin")
+    assert fields["since_head_ms"] is not None
