--- /dev/null
+++ b/tests/request/test_cut_answers.py
@@ -0,0 +1,164 @@
+"""Answers that break off on their way from another node, and what the caller gets."""
+
+import collections.abc
+import functools
+
+import h11
+import pytest
+import trio
+import trio.testing
+
+from ebonyvalve.connection import pool
+from ebonyvalve.request import attempt, exchange, front, origin, outcome, reachability
+from tests.request import test_origin
+
+REQUEST = b"GET /orders/1 HTTP/1.1\r\nHost: x\r\n\r\n"
+SMALL = 1000
+# More than is held back, so that the caller gets the beginning before the end has come.
+LARGE = 100_000
+SWEEP_S = 0.25
+
+Script = collections.abc.Callable[[trio.abc.Stream], collections.abc.Awaitable[None]]
+
+
+def build_answer(size: int) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + b"x" * size
+
+
+async def answer(stream: trio.abc.Stream) -> None:
+    await stream.send_all(build_answer(SMALL))
+
+
+async def break_off(stream: trio.abc.Stream) -> None:
+    await stream.send_all(build_answer(SMALL)[:-1])
+    await stream.aclose()
+
+
+async def stall(stream: trio.abc.Stream) -> None:
+    await stream.send_all(build_answer(SMALL)[:-1])
+
+
+async def answer_in_two_parts(stream: trio.abc.Stream) -> None:
+    whole = build_answer(LARGE)
+    await stream.send_all(whole[:90_000])
+    await trio.sleep(3.0)
+    await stream.send_all(whole[90_000:])
+
+
+async def answer_slowly(stream: trio.abc.Stream) -> None:
+    whole = build_answer(SMALL)
+    for first in range(0, len(whole), 150):
+        await stream.send_all(whole[first : first + 150])
+        await trio.sleep(0.5)
+
+
+def build_mesh(nursery: trio.Nursery, scripts: list[Script]) -> origin.Origin:
+    """Return a node whose peers answer requests by the scripts in turn, and no pings."""
+    entry = test_origin.build_origin(9.0)
+    left = list(scripts)
+
+    async def serve(stream: trio.abc.Stream) -> None:
+        first = bytes(await stream.receive_some())
+        if reachability.PING_PATH.encode() not in first:
+            await left.pop(0)(stream)
+
+    async def connect(_: str) -> trio.abc.Stream:
+        ours, theirs = trio.testing.memory_stream_pair()
+        nursery.start_soon(serve, theirs)
+        return ours
+
+    entry.peers.connect = connect
+    return entry
+
+
+async def watch(entry: origin.Origin) -> None:
+    state = reachability.Watch(node=entry.node, peers=entry.peers, connect=entry.peers.connect)
+    while True:
+        await trio.sleep(SWEEP_S)
+        await reachability.look(state)
+        await pool.sweep(entry.peers, p99_s=attempt.SLOW_ANSWER_S)
+
+
+async def ask(
+    monkeypatch: pytest.MonkeyPatch, scripts: list[Script], *, is_repeatable: bool
+) -> tuple[int, int]:
+    """Return the status that a caller gets and the size of the body; 0 if there is no answer."""
+    monkeypatch.setattr(origin, "resolve", lambda *_: None)
+    head = origin.Head(request_id="r1", host="x", budget_s=None, slot=None)
+
+    def parse(_: front.Front, __: h11.Request) -> exchange.Call:
+        call = test_origin.build_call(is_repeatable=is_repeatable)
+        call.headers = [(b"host", b"x")]
+        call.deadline_at_s = trio.current_time() + 5.0
+        return call
+
+    async def handle(call: exchange.Call, caller: exchange.Caller) -> outcome.Outcome:
+        return await origin.handle(entry, call, caller, head)
+
+    near, far = trio.testing.memory_stream_pair()
+    http = h11.Connection(h11.CLIENT)
+    http.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
+    http.send(h11.EndOfMessage())
+    status, size = 0, 0
+    async with trio.open_nursery() as nursery:
+        entry = build_mesh(nursery, scripts)
+        listener = front.Front(
+            now=trio.current_time,
+            handle=handle,
+            find_limits=lambda service: (5.0, 1000),
+            is_hop=False,
+            parse=parse,
+            joins_head=True,
+        )
+        nursery.start_soon(functools.partial(front.serve, listener, far))
+        nursery.start_soon(watch, entry)
+        await near.send_all(REQUEST)
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                data = bytes(await near.receive_some())
+                if not data:
+                    status = 0
+                    break
+                http.receive_data(data)
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+            else:
+                break
+        nursery.cancel_scope.cancel()
+    return status, size
+
+
+@pytest.mark.parametrize("fail", [break_off, stall])
+async def test_answer_that_was_held_back_is_fetched_elsewhere(
+    monkeypatch: pytest.MonkeyPatch, autojump_clock: trio.testing.MockClock, fail: Script
+) -> None:
+    """Issue 15: connections were closed without an answer when a hop broke off after the head.
+
+    What was held back has not begun at the caller, so that the request can be sent again.
+    """
+    got = await ask(monkeypatch, [fail, answer], is_repeatable=True)
+    assert got == (200, SMALL)
+
+
+@pytest.mark.parametrize("fail", [break_off, stall])
+async def test_order_whose_answer_was_held_back_is_told_so(
+    monkeypatch: pytest.MonkeyPatch, autojump_clock: trio.testing.MockClock, fail: Script
+) -> None:
+    """Issue 15: connections were closed without an answer when a hop broke off after the head."""
+    status, _ = await ask(monkeypatch, [fail], is_repeatable=False)
+    assert status == 502
+
+
+@pytest.mark.parametrize(("script", "size"), [(answer_in_two_parts, LARGE), (answer_slowly, SMALL)])
+async def test_answer_under_way_survives_missed_pings(
+    monkeypatch: pytest.MonkeyPatch,
+    autojump_clock: trio.testing.MockClock,
+    script: Script,
+    size: int,
+) -> None:
+    """Issue 15: answers that had begun at their callers were cut when a busy node missed a ping."""
+    got = await ask(monkeypatch, [script], is_repeatable=True)
+    assert got == (200, size)
--- a/tests/request/test_reachability.py
+++ b/tests/request/test_reachability.py
@@ -18,9 +18,13 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Peer:
-    """Another node. A frozen one accepts connections and bytes, and answers nothing."""
+    """Another node. A frozen one accepts connections and bytes, and answers nothing.
+
+    ``delay_s`` is what each packet from it waits for in the queue of its link.
+    """
 
     is_frozen: bool = False
+    delay_s: float = 0.0
     answer: bytes = b"HTTP/1.1 204 No Content\r\n\r\n"
 
 
@@ -28,10 +32,12 @@
     async def serve(stream: trio.abc.Stream) -> None:
         await stream.receive_some()
         if not peer.is_frozen:
+            await trio.sleep(peer.delay_s)
             await stream.send_all(peer.answer)
         await trio.sleep_forever()
 
     async def connect(_: str) -> trio.abc.Stream:
+        await trio.sleep(peer.delay_s)
         ours, theirs = trio.testing.memory_stream_pair()
         nursery.start_soon(serve, theirs)
         return ours
@@ -94,6 +100,20 @@
     assert not watch.lost
 
 
+async def test_node_behind_a_busy_link_is_not_lost(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Issue 15: pings waited behind large answers, and nodes were lost that sent all the while.
+
+    A ping on a connection of its own passes the queue twice.
+    """
+    watch = build_watch(nursery, Peer(delay_s=0.24))
+    slot = await send(watch)
+    await watch_for(watch, 3.0)
+    assert not watch.lost
+    assert not slot.scope.cancel_called
+
+
 async def test_node_that_wakes_is_used_again(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
