Take an answer for begun only when a part of it was sent to the caller

Callers saw connections closed with no answer, neither from another node nor a refusal.

Cause: an attempt counted as begun as soon as the head of an answer had come, although small answers are held back until they are whole and the head is written together with the body. A hop that broke off after that was neither tried elsewhere nor refused. Class of fault: a step of the node's own taken for something that the caller has.

Change: the caller's end says whether a part of an answer was sent (h11's state of the connection); attempts, hops and the origin ask it. A hop that gets no whole answer from its target is refused with the reason, where it was closed before. The head of an attempt that broke off before its body is replaced by the next one's; two heads would have been written. test_foreign calls hold_back by its new form; its check is the same.

--- a/src/ebonyvalve/request/dispatch.py
+++ b/src/ebonyvalve/request/dispatch.py
@@ -45,6 +45,7 @@
 
     ``is_sent`` says that bytes of the request may have reached the other end. ``is_body_open``
     says that the caller's body was read beyond the held prefix, so that it cannot be sent again.
+    ``is_reply_begun`` says that the caller was sent a part of this answer.
     """
 
     step: Step = Step.LOST_BEFORE_REPLY
@@ -191,12 +192,15 @@
         attempt.step = Step.WITHHELD
         await _skip_answer(conn)
         return
-    attempt.is_reply_begun = True
     attempt.step = Step.LOST_IN_REPLY
-    if not await caller.reply(head.status_code, headers):
-        attempt.step = Step.CALLER_GONE
-        return
-    await _pass_reply_body(slot, conn, caller, attempt, now)
+    try:
+        if not await caller.reply(head.status_code, headers):
+            attempt.step = Step.CALLER_GONE
+            return
+        await _pass_reply_body(slot, conn, caller, attempt, now)
+    finally:
+        # The caller's end may have held the answer back.
+        attempt.is_reply_begun = caller.is_begun()
 
 
 async def _receive_head(
--- a/src/ebonyvalve/request/exchange.py
+++ b/src/ebonyvalve/request/exchange.py
@@ -71,7 +71,7 @@
     ``receive`` returns the next part of the body, empty at its end. ``reply`` sends the head of
     the answer, ``write`` a part of its body and ``finish`` its end; they return whether the caller
     is still there. ``wait_gone`` returns when the caller has closed the connection, ``find_gone``
-    says without waiting whether it has.
+    says without waiting whether it has. ``is_begun`` says whether a part of an answer was sent.
     """
 
     receive: collections.abc.Callable[[], collections.abc.Awaitable[Chunk]]
@@ -80,6 +80,7 @@
     finish: collections.abc.Callable[[], collections.abc.Awaitable[bool]]
     wait_gone: collections.abc.Callable[[], collections.abc.Awaitable[None]]
     find_gone: collections.abc.Callable[[], collections.abc.Awaitable[bool]]
+    is_begun: collections.abc.Callable[[], bool] = lambda: False
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -247,7 +247,8 @@
         extra = [] if not incoming.front.is_stopping else [(b"connection", b"close")]
         response = h11.Response(status_code=status, headers=headers + extra)
         if incoming.front.joins_head:
-            head.append(response)
+            # The answer of an attempt that broke off before its body is replaced.
+            head[:] = [response]
             return True
         return isinstance(await wire.send(conn, response), result.Success)
 
@@ -267,6 +268,9 @@
     async def find_gone() -> bool:
         return await wire.find_closed(conn)
 
+    def is_begun() -> bool:
+        return conn.http.our_state is not h11.SEND_RESPONSE
+
     return exchange.Caller(
         receive=receive,
         reply=reply,
@@ -274,6 +278,7 @@
         finish=finish,
         wait_gone=wait_gone,
         find_gone=find_gone,
+        is_begun=is_begun,
     )
 
 
--- a/src/ebonyvalve/request/held.py
+++ b/src/ebonyvalve/request/held.py
@@ -8,26 +8,20 @@
 HELD_BYTES = 65_536
 
 
-@dataclasses.dataclass(kw_only=True)
-class Held:
-    """A caller that gets the beginning of an answer only when enough of it is there."""
-
-    caller: exchange.Caller
-    is_begun: list[bool]
-
-
-def hold_back(caller: exchange.Caller) -> Held:
+def hold_back(caller: exchange.Caller) -> exchange.Caller:
     """Hold a small answer back until it is whole, so that a broken one is never begun.
 
+    Returns a caller that gets the beginning of an answer only when enough of it is there.
+
     :param caller: who gets the answer.
     """
     head: list[tuple[int, exchange.Headers]] = []
     parts: list[bytes] = []
     size = [0]
-    is_begun = [False]
+    is_streamed = [False]
 
     async def begin() -> bool:
-        is_begun[0] = True
+        is_streamed[0] = True
         status, headers = head[0]
         if not await caller.reply(status, headers):
             return False
@@ -42,18 +36,15 @@
         return True
 
     async def write(data: bytes) -> bool:
-        if is_begun[0]:
+        if is_streamed[0]:
             return await caller.write(data)
         parts.append(data)
         size[0] += len(data)
         return size[0] < HELD_BYTES or await begin()
 
     async def finish() -> bool:
-        if not is_begun[0] and not await begin():
+        if not is_streamed[0] and not await begin():
             return False
         return await caller.finish()
 
-    return Held(
-        caller=dataclasses.replace(caller, reply=reply, write=write, finish=finish),
-        is_begun=is_begun,
-    )
+    return dataclasses.replace(caller, reply=reply, write=write, finish=finish)
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -123,9 +123,9 @@
     kept = held.hold_back(caller)
     tried: list[identity.NodeId] = []
     ended, is_gone = await _run_watched(
-        origin.node, call, caller, functools.partial(_try_all, origin, call, kept.caller, tried)
+        origin.node, call, caller, functools.partial(_try_all, origin, call, kept, tried)
     )
-    told = kept.is_begun[0] or ended.is_told
+    told = caller.is_begun()
     result = ended.result
     if is_gone:
         result = outcome.doubt(outcome.Reason.CALLER_GONE)
@@ -359,7 +359,7 @@
     ended, is_gone = await _run_watched(
         node, call, caller, functools.partial(delivery.run, origin.delivery, call, passing)
     )
-    if not is_gone and not ended.is_told and ended.result.verdict is not outcome.Verdict.ANSWERED:
+    if not is_gone and not caller.is_begun():
         return await _refuse_hop(origin, call, caller, ended, started_at)
     _record(origin, call, ended.result, started_at, [node.place.node])
     return ended.result
--- a/tests/request/test_foreign.py
+++ b/tests/request/test_foreign.py
@@ -101,9 +101,9 @@
         receive=None, reply=reply, write=write, finish=finish, wait_gone=None, find_gone=None  # type: ignore[arg-type]
     )
     kept = held.hold_back(caller)
-    await kept.caller.reply(200, [(b"a", b"broken")])
-    await kept.caller.write(b"half of")
-    await kept.caller.reply(200, [(b"a", b"whole")])
-    await kept.caller.write(b"the answer")
-    await kept.caller.finish()
+    await kept.reply(200, [(b"a", b"broken")])
+    await kept.write(b"half of")
+    await kept.reply(200, [(b"a", b"whole")])
+    await kept.write(b"the answer")
+    await kept.finish()
     assert sent == [[(b"a", b"whole")], b"the answer"]
