Work out the next ledger from the answer to a write that conflicted

Cause: after every write of a ledger that was not done, the node read the whole table of members and ledgers and all leases again, and then wrote from that.

Change: the answer to a write that conflicted holds the rows of its conditions, the ledger and the leases, and the next write is worked out from them at once. A refused write has done nothing, so nothing is read. Only a lost answer still needs both reads.

All histories of tests/process/keyspace hold.

Tests, failing before: test_write_from_an_old_ledger_reads_nothing_again (assert 24 == 12) and test_refused_write_reads_nothing_again (assert 9 == 4). The stand-in of the store counts calls by path and table for them.

--- a/src/ebonyvalve/process/keyspace/records.py
+++ b/src/ebonyvalve/process/keyspace/records.py
@@ -124,7 +124,7 @@
             if MEMBER_PREFIX + name not in names:
                 drop_member(steward, name)
     for row in read.rows:
-        _take_row(steward, row)
+        take_row(steward, row)
     steward.mesh_version = max(steward.mesh_version, read.version)
     budget.divide(node.budget, node.place.retries.slack, len(node.members))
     take_clock(steward, read.clock)
@@ -143,7 +143,12 @@
         node.clock = lease.choose_clock(node.clock, read, node.now())
 
 
-def _take_row(steward: Steward, row: table.Row) -> None:
+def take_row(steward: Steward, row: table.Row) -> None:
+    """Take in a member or a ledger.
+
+    :param steward: the state.
+    :param row: its row.
+    """
     key = row.name.key
     try:
         if key.startswith(MEMBER_PREFIX):
--- a/src/ebonyvalve/process/keyspace/steward.py
+++ b/src/ebonyvalve/process/keyspace/steward.py
@@ -122,10 +122,15 @@
             node.leases.pop(identity.NodeId(one.key), None)
         node_module.pulse(node)
         return True
-    # The ledger or a lease has changed, or the answer was lost: what the table has decides.
-    await records.read_again(steward)
-    await tenure.read_leases(steward)
-    await node_module.pause(steward.node, records.RETRY_S * node.draw())
+    if isinstance(done, table.Conflict):
+        # The answer holds what has changed, so that the next write can be worked out from it.
+        if tenure.take_conflict(steward, done.rows):
+            return True
+    elif done is table.Trouble.UNKNOWN:
+        # The write may have been done: what the table has decides.
+        await records.read_again(steward)
+        await tenure.read_leases(steward)
+    await node_module.pause(steward.node, records.RETRY_S * (1 + node.draw()))
     return False
 
 
--- a/src/ebonyvalve/process/keyspace/tenure.py
+++ b/src/ebonyvalve/process/keyspace/tenure.py
@@ -115,20 +115,50 @@
     records.take_clock(steward, read.clock)
     leases = {}
     for row in read.rows:
-        try:
-            decoded = msgspec.json.decode(row.value, type=lease.LeaseRow)
-        except msgspec.DecodeError as exc:
-            decision.record(log, logging.ERROR, "row-unreadable", row=row.name, cause=str(exc))
-            continue
-        leases[identity.NodeId(row.name.key)] = node_module.OtherLease(
-            row=decoded, version=row.version
-        )
+        known = _decode_lease(row)
+        if known is not None:
+            leases[identity.NodeId(row.name.key)] = known
     node.leases = leases
     steward.has_doubtful_leases = False
     steward.leases_read_at = node.now()
     node_module.pulse(node)
 
 
+def _decode_lease(row: table.Row) -> node_module.OtherLease | None:
+    try:
+        decoded = msgspec.json.decode(row.value, type=lease.LeaseRow)
+    except msgspec.DecodeError as exc:
+        decision.record(log, logging.ERROR, "row-unreadable", row=row.name, cause=str(exc))
+        return None
+    return node_module.OtherLease(row=decoded, version=row.version)
+
+
+def take_conflict(steward: records.Steward, rows: tuple[table.Row, ...]) -> bool:
+    """Take in the rows on which a write depended; return whether any was news.
+
+    :param steward: the state.
+    :param rows: the ledger and leases, as the answer to the write gives them.
+    """
+    node = steward.node
+    book_before = node.books.get(node.place.service)
+    leases_before = dict(node.leases)
+    for row in rows:
+        is_missing = row.is_removed or row.version == table.MISSING
+        if row.name.table == records.MESH and not is_missing:
+            records.take_row(steward, row)
+        elif row.name.table == records.LEASES:
+            name = identity.NodeId(row.name.key)
+            known = None if is_missing else _decode_lease(row)
+            if known is None:
+                node.leases.pop(name, None)
+            else:
+                node.leases[name] = known
+    is_news = node.books.get(node.place.service) is not book_before or node.leases != leases_before
+    if is_news:
+        node_module.pulse(node)
+    return is_news
+
+
 def read_hold(steward: records.Steward) -> float:
     """Return for how many seconds the target may be granted its keys now; 0 for not at all.
 
--- a/src/ebonyvalve/standin/metadata.py
+++ b/src/ebonyvalve/standin/metadata.py
@@ -1,6 +1,7 @@
 """The platform's metadata store in memory, with the faults that its protocol allows."""
 
 import base64
+import collections
 import collections.abc
 import dataclasses
 import enum
@@ -56,6 +57,14 @@
     faults: dict[str, Fault] = dataclasses.field(default_factory=dict)
     changed: trio.Event = dataclasses.field(default_factory=trio.Event)
     calls: int = 0
+    # Calls by path and table.
+    asked: collections.Counter[tuple[str, str]] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    # Bytes of answers by path and table.
+    told: collections.Counter[tuple[str, str]] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
 
 class WirePlace(msgspec.Struct, kw_only=True):
@@ -108,6 +117,8 @@
 
     async def respond(request: http.Request) -> http.Reply | None:
         state.calls += 1
+        kind = _find_kind(request)
+        state.asked[kind] += 1
         fault = state.faults.get(caller, state.faults.get("", Fault.NONE))
         await trio.sleep(state.delay_s)
         if fault is Fault.BUSY:
@@ -121,6 +132,7 @@
         path, _, query = request.path.partition("?")
         asked = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         reply = await _answer(state, request.method, path, asked, request.body)
+        state.told[kind] += len(reply.body)
         if fault in (Fault.LOST, Fault.LATE):
             return None
         return reply
@@ -128,6 +140,16 @@
     return respond
 
 
+def _find_kind(request: http.Request) -> tuple[str, str]:
+    """Return path and table of a call; a transaction counts for the table that it writes first."""
+    path, _, query = request.path.partition("?")
+    if path != "/rows-tx":
+        return path, dict(urllib.parse.parse_qsl(query)).get("table", "")
+    asked = msgspec.json.decode(request.body, type=WireTransaction)
+    written = [*asked.puts, *asked.remove]
+    return path, written[0].table if written else ""
+
+
 async def _answer(
     state: Metadata, method: str, path: str, asked: dict[str, str], body: bytes
 ) -> http.Reply:
--- a/tests/process/keyspace/test_steward.py
+++ b/tests/process/keyspace/test_steward.py
@@ -426,6 +426,46 @@
     assert holder.target.holds
 
 
+async def test_write_from_an_old_ledger_reads_nothing_again(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Grown sites: 590 of 998 writes conflicted, and each read all members and leases again.
+
+    The answer to such a write holds the rows that have changed.
+    """
+    world = await build_world(nursery, 12)
+    state = world.state
+    before, reads = state.version, state.asked["/rows-get", records.MESH]
+    for machine in world.machines[:6]:
+        assert machine.keeper is not None
+        machine.target = None
+        node_module.set_gone(machine.keeper.node, "refuses connections", is_dead=True)
+    await wait_whole(world, 3.0)
+    writes = sum(1 for version, name in state.log if version > before and name[2][:5] == "book/")
+    assert state.asked["/rows-tx", records.MESH] > writes + 6
+    assert state.asked["/rows-get", records.MESH] == reads
+    assert world.violations == []
+
+
+async def test_refused_write_reads_nothing_again(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Grown sites: a store that refused a node got two further calls for each refused write."""
+    world = await build_world(nursery)
+    machine = world.machines[1]
+    assert machine.keeper is not None
+    world.state.faults[machine.name] = metadata.Fault.BUSY
+    await trio.sleep(1.0)
+    reads = world.state.asked["/rows-get", records.MESH]
+    machine.target = None
+    node_module.set_gone(machine.keeper.node, "refuses connections", is_dead=True)
+    await trio.sleep(3.0)
+    assert world.state.asked["/rows-get", records.MESH] == reads
+    world.state.faults.clear()
+    await wait_whole(world, 3.0)
+    assert world.violations == []
+
+
 # The design's bound on the time until the keys of a lost node are served again.
 RECOVERY_S = 1.0
 
