Tell the operator's rows on from node to node

But all that a node could do with the name was to ask the store again, which was what refused it. The name also ended the follow of members and ledgers at every node, on a connection that then had to be opened anew.

Change: a node keeps the operator's newest rows as they were written. One that hears of a version that it lacks waits 50 ms for the store, then asks the node that named it for all rows since its own version, on a connection of its own, packed; another node, if that one does not answer. A row is applied only if it is newer than the known one, from wherever it comes. A teller that has read the table whole does not know of earlier removals and tells all it has. Naming a version ends only the follow of the operator's rows.

In test_operator the event that must not be set anew for a known version is now `named`, which naming sets in place of `recheck`; the check is the same.

--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -15,7 +15,7 @@
 
 from ebonyvalve import errors
 from ebonyvalve.connection import pool
-from ebonyvalve.platform import dialect, operator, reload, reports, settings, sockets, store
+from ebonyvalve.platform import dialect, news, operator, reload, reports, settings, sockets, store
 from ebonyvalve.process import budget, decision, http, identity, network, signals, timer
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process import place as place_module
@@ -103,6 +103,7 @@
             functools.partial(
                 operator.follow, daemon.node, daemon.origin.current, daemon.steward.store
             ),
+            functools.partial(news.learn, daemon.node, daemon.origin.current, sockets.connect),
             functools.partial(delivery.run_queue, daemon.origin.delivery),
             functools.partial(crash.run, daemon.origin.delivery.crashes),
             functools.partial(sweep, daemon),
@@ -228,6 +229,9 @@
     """
     if call.path.startswith(reachability.PING_PATH):
         return await acknowledge(caller, reachability.answer(entry.node, call.path))
+    if call.path.startswith(news.NEWS_PATH):
+        told = news.tell(entry.node, call.path)
+        return await acknowledge(caller, 400 if told is None else 200, told or b"")
     if call.path.startswith(records.LEDGER_PATH) or call.path == crash.CRASH_PATH:
         return await take_push(entry, keeper, call, caller)
     relay.take_seen(entry.node, call.headers)
@@ -264,14 +268,16 @@
     return await acknowledge(caller, 204 if is_taken else 400)
 
 
-async def acknowledge(caller: exchange.Caller, status: int) -> outcome.Outcome:
-    """Answer another node without a body.
+async def acknowledge(caller: exchange.Caller, status: int, body: bytes = b"") -> outcome.Outcome:
+    """Answer another node.
 
     :param caller: the other node.
     :param status: the status code.
+    :param body: what it asked for, if anything.
     """
-    await caller.reply(status, [])
-    await caller.finish()
+    headers = [(b"content-length", str(len(body)).encode())] if body else []
+    if await caller.reply(status, headers) and (not body or await caller.write(body)):
+        await caller.finish()
     return outcome.Outcome(verdict=outcome.Verdict.ANSWERED, status=status)
 
 
--- /dev/null
+++ b/src/ebonyvalve/platform/news.py
@@ -0,0 +1,151 @@
+"""Tells the operator's rows on from node to node, since the store may refuse some of them."""
+
+import logging
+import zlib
+
+import msgspec
+from returns import result
+import trio
+
+from ebonyvalve.platform import operator
+from ebonyvalve.process import decision, http, identity, network
+from ebonyvalve.process import node as node_module
+from ebonyvalve.process.store import table
+from ebonyvalve.version import traffic
+
+log = logging.getLogger(__name__)
+
+NEWS_PATH = "/ebonyvalve/operator/"
+# A configuration of 16 MiB is far above the store's bound for a row.
+MOST_BYTES = 16 * 1024 * 1024
+# Bounds a transfer over a narrow link; another node is asked after it.
+ASK_TIMEOUT_S = 1.5
+RETRY_S = 0.25
+OK = 200
+
+
+class WireRow(msgspec.Struct, kw_only=True, frozen=True, array_like=True):
+    """One row of the operator."""
+
+    key: str
+    version: int
+    is_removed: bool
+    value: bytes
+
+
+class WireNews(msgspec.Struct, kw_only=True, frozen=True):
+    """Rows that are complete up to a version, since the one asked for or from the beginning."""
+
+    version: int
+    is_whole: bool
+    rows: list[WireRow]
+
+
+def tell(node: node_module.Node, path: str) -> bytes | None:
+    """Return the operator's rows that another node lacks, or ``None`` for an unreadable question.
+
+    :param node: the node.
+    :param path: names the newest version that the other node has.
+    """
+    asked = path.removeprefix(NEWS_PATH)
+    if not asked.isdecimal():
+        return None
+    # A row that was removed before is only noticed by its absence.
+    is_whole = int(asked) < node.operator_since
+    rows = [
+        WireRow(key=row.name.key, version=row.version, is_removed=row.is_removed, value=row.value)
+        for row in node.operator_rows.values()
+        if is_whole or row.version > int(asked)
+    ]
+    told = WireNews(version=node.operator_version, is_whole=is_whole, rows=rows)
+    return zlib.compress(msgspec.msgpack.encode(told), level=1)
+
+
+def take(node: node_module.Node, current: traffic.Current, body: bytes) -> bool:
+    """Apply what another node tells; return whether it could be read.
+
+    :param node: the node.
+    :param current: gets the configuration.
+    :param body: the answer to the question of :func:`tell`.
+    """
+    try:
+        packed = zlib.decompressobj().decompress(body, MOST_BYTES)
+        told = msgspec.msgpack.decode(packed, type=WireNews)
+    except (zlib.error, msgspec.DecodeError, RecursionError) as exc:
+        decision.record(log, logging.ERROR, "news-unreadable", cause=str(exc))
+        return False
+    rows = tuple(
+        table.Row(
+            name=table.Name(table=operator.OPERATOR, key=row.key),
+            value=row.value,
+            version=row.version,
+            is_removed=row.is_removed,
+        )
+        for row in told.rows
+    )
+    read = table.Rows(rows=rows, version=told.version, clock=None)
+    operator.apply(node, current, read, is_whole=told.is_whole, reached=told.version)
+    return True
+
+
+async def learn(node: node_module.Node, current: traffic.Current, connect: network.Connect) -> None:
+    """Ask other nodes for rows of the operator that they have and the store has not told here.
+
+    :param node: the node.
+    :param current: gets the configuration.
+    :param connect: opens a connection.
+    """
+    while True:
+        named = node.named
+        if not node_module.is_behind(node):
+            await named.wait()
+            continue
+        await operator.await_news(node)
+        if not node_module.is_behind(node):
+            continue
+        teller = choose_teller(node)
+        if teller is not None:
+            await _ask(node, current, connect, teller)
+        if node_module.is_behind(node):
+            node.named_by = None
+            await node_module.pause(node, RETRY_S * (1 + node.draw()))
+
+
+def choose_teller(node: node_module.Node) -> identity.NodeId | None:
+    """Return the node that named the news, or any other.
+
+    :param node: the node.
+    """
+    if node.named_by in node.members:
+        return node.named_by
+    others = sorted(name for name in node.members if name != node.place.node)
+    return others[int(node.draw() * len(others)) % len(others)] if others else None
+
+
+async def _ask(
+    node: node_module.Node,
+    current: traffic.Current,
+    connect: network.Connect,
+    teller: identity.NodeId,
+) -> None:
+    request = http.Request(method="GET", path=f"{NEWS_PATH}{node.operator_version}")
+    address = node.members[teller].address
+    sent: result.Result[http.Reply, http.HttpFailure] | None = None
+    async with trio.open_nursery() as nursery:
+
+        async def watch() -> None:
+            """End the question when the store has answered meanwhile."""
+            while node_module.is_behind(node):
+                await node.changed.wait()
+            nursery.cancel_scope.cancel()
+
+        nursery.start_soon(watch)
+        sent = await http.fetch(connect, address, request, timeout_s=ASK_TIMEOUT_S)
+        nursery.cancel_scope.cancel()
+    if sent is None:
+        return
+    reply = sent.unwrap() if isinstance(sent, result.Success) else None
+    is_taken = reply is not None and reply.status == OK and take(node, current, reply.body)
+    decision.record(
+        log, logging.INFO, "news", teller=teller, taken=is_taken, version=node.operator_version
+    )
--- a/src/ebonyvalve/platform/operator.py
+++ b/src/ebonyvalve/platform/operator.py
@@ -1,11 +1,15 @@
 """Follows what the operator writes into the store: the configuration and evacuated zones."""
 
+import collections.abc
 import functools
 import logging
 
+import trio
+
 from ebonyvalve.platform import configuration
 from ebonyvalve.process import decision, identity
 from ebonyvalve.process import node as node_module
+from ebonyvalve.process.store import follow as follow_module
 from ebonyvalve.process.store import table
 from ebonyvalve.version import traffic
 
@@ -16,6 +20,8 @@
 EVACUATE = "evacuate/"
 FOLLOW_S = 10.0
 RETRY_S = 0.25
+# The store answers all nodes that follow it within this time of each other.
+PATIENCE_S = 0.05
 
 
 async def follow(node: node_module.Node, current: traffic.Current, store: table.Store) -> None:
@@ -32,8 +38,9 @@
         if is_whole:
             read = await store.read(OPERATOR)
         else:
-            read = await node_module.interrupt(
-                node, functools.partial(store.follow, OPERATOR, version, FOLLOW_S)
+            read = await follow_module.interrupt(
+                functools.partial(store.follow, OPERATOR, version, FOLLOW_S),
+                functools.partial(_await_doubt, node),
             )
             if read is None:
                 continue
@@ -49,34 +56,80 @@
             await node_module.pause(node, RETRY_S * (1 + node.draw()))
 
 
+async def _await_doubt(node: node_module.Node) -> None:
+    """Return when the store may have lost an answer with news."""
+    await node.named.wait()
+    await await_news(node)
+
+
+async def await_news(node: node_module.Node) -> None:
+    """Wait a moment for rows that another node has already applied.
+
+    :param node: the node.
+    """
+    with trio.move_on_after(PATIENCE_S):
+        while node_module.is_behind(node):
+            await node.changed.wait()
+
+
 def apply(
-    node: node_module.Node, current: traffic.Current, read: table.Rows, *, is_whole: bool
+    node: node_module.Node,
+    current: traffic.Current,
+    read: table.Rows,
+    *,
+    is_whole: bool,
+    reached: int = 0,
 ) -> None:
-    """Apply rows of the operator.
+    """Apply those rows of the operator that are newer than the known ones.
+
+    They come from the store and from other nodes, in any order.
 
     :param node: the node.
     :param current: gets the configuration.
     :param read: the rows.
     :param is_whole: whether they are all there are.
+    :param reached: the version of the operator's rows up to which they are complete, if that is
+        known; the store's versions count other rows too.
     """
+    known = node.operator_rows
+    fresh = [row for row in read.rows if row.version > _read_version(known, row.name.key)]
+    known.update({row.name.key: row for row in fresh})
     newest = max((row.version for row in read.rows), default=0)
-    node.operator_version = max(node.operator_version, newest)
-    zones = set() if is_whole else set(node.evacuated)
-    for row in read.rows:
+    node.operator_version = max(node.operator_version, newest, reached)
+    if is_whole:
+        names = {row.name.key for row in read.rows}
+        for key, row in list(known.items()):
+            if key not in names and row.version <= read.version:
+                del known[key]
+        # When the missing rows were removed is not known.
+        node.operator_since = node.operator_version
+    for row in fresh:
         if row.name.key == CONFIG and not row.is_removed:
             _apply_config(node, current, row)
-        elif row.name.key.startswith(EVACUATE):
-            zone = identity.ZoneId(row.name.key.removeprefix(EVACUATE))
-            if row.is_removed:
-                zones.discard(zone)
-            else:
-                zones.add(zone)
+    zones = list_evacuated(known.values())
     if zones != node.evacuated:
         decision.record(log, logging.INFO, "evacuation", zones=",".join(sorted(zones)))
-        node_module.set_evacuated(node, frozenset(zones))
+        node_module.set_evacuated(node, zones)
     node_module.pulse(node)
 
 
+def _read_version(known: collections.abc.Mapping[str, table.Row], key: str) -> int:
+    row = known.get(key)
+    return table.MISSING if row is None else row.version
+
+
+def list_evacuated(rows: collections.abc.Iterable[table.Row]) -> frozenset[identity.ZoneId]:
+    """Return the zones whose targets are to get nothing.
+
+    :param rows: the operator's.
+    """
+    return frozenset(
+        identity.ZoneId(row.name.key.removeprefix(EVACUATE))
+        for row in rows
+        if row.name.key.startswith(EVACUATE) and not row.is_removed
+    )
+
+
 def _apply_config(node: node_module.Node, current: traffic.Current, row: table.Row) -> None:
     decoded = configuration.decode(row.value)
     if isinstance(decoded, list):
--- a/src/ebonyvalve/process/keyspace/records.py
+++ b/src/ebonyvalve/process/keyspace/records.py
@@ -9,7 +9,7 @@
 from ebonyvalve.process import budget, decision, identity, member, network, push
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import lease, ledger
-from ebonyvalve.process.store import table
+from ebonyvalve.process.store import follow, table
 
 log = logging.getLogger(__name__)
 
@@ -85,9 +85,9 @@
             is_whole = True
         else:
             version = steward.mesh_version
-            read = await node_module.interrupt(
-                steward.node,
+            read = await follow.interrupt(
                 functools.partial(steward.store.follow, MESH, version, FOLLOW_S),
+                steward.node.recheck.wait,
             )
             is_whole = False
             if read is None:
--- a/src/ebonyvalve/process/node.py
+++ b/src/ebonyvalve/process/node.py
@@ -3,7 +3,6 @@
 import collections.abc
 import dataclasses
 import logging
-import typing
 
 import trio
 
@@ -11,11 +10,10 @@
 from ebonyvalve.process.keyspace import grant, lease, ledger
 from ebonyvalve.process.load import choice, gate, heat, pace, policy
 from ebonyvalve.process.observation import tally
+from ebonyvalve.process.store import table
 
 log = logging.getLogger(__name__)
 
-Found = typing.TypeVar("Found")
-
 
 @dataclasses.dataclass(kw_only=True)
 class Target:
@@ -92,10 +90,17 @@
     closed_at: float = float("-inf")
     was_open: bool = False
     changed: trio.Event = dataclasses.field(default_factory=trio.Event)
-    # The newest row of the operator that was applied, and the newest that others have named.
+    # What the operator wrote: the newest version that was applied, the newest rows by key, the
+    # newest version that others have named, and who named it.
     operator_version: int = 0
+    operator_rows: dict[str, table.Row] = dataclasses.field(default_factory=dict)
+    # Rows that were removed before this version are not among them.
+    operator_since: int = 0
     named_version: int = 0
-    # Set when the store may have news for which a follow has been waiting in vain.
+    named_by: identity.NodeId | None = None
+    # Set when the store may have news for which a follow has been waiting in vain: the one of the
+    # operator's rows, and the others.
+    named: trio.Event = dataclasses.field(default_factory=trio.Event)
     recheck: trio.Event = dataclasses.field(default_factory=trio.Event)
 
 
@@ -121,38 +126,36 @@
     """
     node.recheck.set()
     node.recheck = trio.Event()
+    _look_for_orders(node)
 
 
-def note_named(node: Node, version: int) -> None:
-    """Note the newest row of the operator that another node has applied.
+def _look_for_orders(node: Node) -> None:
+    node.named.set()
+    node.named = trio.Event()
+
+
+def is_behind(node: Node) -> bool:
+    """Return whether another node has applied newer rows of the operator.
 
     :param node: the node.
-    :param version: its version in the store.
     """
-    if version > max(node.operator_version, node.named_version):
-        node.named_version = version
-        look_again(node)
+    return node.named_version > node.operator_version
 
 
-async def interrupt(
-    node: Node, call: collections.abc.Callable[[], collections.abc.Awaitable[Found]]
-) -> Found | None:
-    """Return the result of a call, or ``None`` if there is reason to make it anew.
+def note_named(node: Node, version: int, by: identity.NodeId | None = None) -> None:
+    """Note the newest row of the operator that another node has applied.
 
     :param node: the node.
-    :param call: makes the call.
+    :param version: its version in the store.
+    :param by: the other node, if that is known.
     """
-    found: Found | None = None
-    async with trio.open_nursery() as nursery:
-
-        async def watch() -> None:
-            await node.recheck.wait()
-            nursery.cancel_scope.cancel()
-
-        nursery.start_soon(watch)
-        found = await call()
-        nursery.cancel_scope.cancel()
-    return found
+    if version <= node.operator_version or version < node.named_version:
+        return
+    if version > node.named_version:
+        node.named_version, node.named_by = version, by
+        _look_for_orders(node)
+    elif node.named_by is None:
+        node.named_by = by
 
 
 async def pause(node: Node, seconds: float) -> None:
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -306,7 +306,7 @@
 
     def take_head(status: int, headers: exchange.Headers) -> exchange.Headers | None:
         relay.take_load(view, headers, node.now())
-        relay.take_seen(node, headers)
+        relay.take_seen(node, headers, name)
         reason = wire.find_header(headers, relay.REFUSED_HEADER)
         if reason is not None:
             refused.append(relay.read_refusal(reason, headers))
--- a/src/ebonyvalve/request/relay.py
+++ b/src/ebonyvalve/request/relay.py
@@ -116,15 +116,18 @@
     return [(SEEN_HEADER, str(node.operator_version).encode())]
 
 
-def take_seen(node: node_module.Node, headers: exchange.Headers) -> None:
-    """Look for news in the store if another node has them.
+def take_seen(
+    node: node_module.Node, headers: exchange.Headers, by: identity.NodeId | None = None
+) -> None:
+    """Note that another node may have news.
 
     :param node: the node.
     :param headers: of a request or an answer of the other node.
+    :param by: the other node, if that is known.
     """
     value = wire.find_header(headers, SEEN_HEADER)
     if value is not None and value.isdigit():
-        node_module.note_named(node, int(value))
+        node_module.note_named(node, int(value), by)
 
 
 def list_load(node: node_module.Node) -> exchange.Headers:
--- /dev/null
+++ b/tests/platform/test_news.py
@@ -0,0 +1,186 @@
+"""What the operator writes is told on from node to node."""
+
+import functools
+
+import pytest
+import trio
+import trio.testing
+
+from ebonyvalve.platform import news, operator
+from ebonyvalve.process import http, identity, timer
+from ebonyvalve.process import node as node_module
+from ebonyvalve.process.store import table
+from ebonyvalve.request import relay
+from ebonyvalve.version import traffic
+from tests.platform import mesh as mesh_module
+from tests.platform import test_operator
+from tests.request import test_origin
+
+TELLER = test_origin.NAMES[2]
+
+
+async def refuse_commit(*_: object) -> table.Trouble:
+    return table.Trouble.UNAVAILABLE
+
+
+def build_refusing_store(rows: list[table.Row], follows: list[float]) -> table.Store:
+    """Return a store that answers the first read and then refuses this node."""
+
+    async def read(_: table.TableName) -> table.Rows:
+        version = max(row.version for row in rows)
+        return table.Rows(rows=tuple(rows), version=version, clock=None)
+
+    async def follow(*_: object) -> table.Trouble:
+        follows.append(trio.current_time())
+        await trio.sleep(0.004)
+        return table.Trouble.UNAVAILABLE
+
+    return table.Store(read=read, follow=follow, commit=refuse_commit)
+
+
+def apply(node: node_module.Node, *rows: table.Row, is_whole: bool = False) -> None:
+    newest = max(row.version for row in rows)
+    read = table.Rows(rows=rows, version=newest + 20, clock=None)
+    operator.apply(node, traffic.Current(), read, is_whole=is_whole)
+
+
+async def test_node_that_the_store_refuses_learns_of_news_from_others(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Grown trouble-1: 31 of 88 nodes applied a configuration 4 to 9 s late (CONFIG, EVAC).
+
+    The store refused them, and others only named the version that they had.
+    """
+    node = test_origin.build_origin(0.0).node
+    teller = test_origin.build_origin(0.0).node
+    nursery.start_soon(timer.run, node.wakeups)
+    first = test_operator.build_row("config", 4, mesh_module.build_config(2))
+    asked: list[str] = []
+
+    async def respond(request: http.Request) -> http.Reply:
+        body = news.tell(teller, request.path)
+        return http.Reply(status=200, body=body or b"")
+
+    async def connect(address: str) -> trio.abc.Stream:
+        asked.append(address)
+        ours, theirs = trio.testing.memory_stream_pair()
+        nursery.start_soon(functools.partial(http.serve, respond, theirs))
+        return ours
+
+    current = traffic.Current()
+    store = build_refusing_store([first], [])
+    nursery.start_soon(operator.follow, node, current, store)
+    nursery.start_soon(news.learn, node, current, connect)
+    await trio.sleep(1.0)
+    assert node.config == 2
+    apply(teller, first, is_whole=True)
+    apply(
+        teller,
+        test_operator.build_row("config", 9, mesh_module.build_config(7)),
+        test_operator.build_row("evacuate/z2", 10, b"{}"),
+    )
+    relay.take_seen(node, relay.list_seen(teller), TELLER)
+    await trio.sleep(0.2)
+    assert node.config == 7
+    assert node.evacuated == {"z2"}
+    assert current.traffic is not None and current.traffic.version == 7
+    assert asked == [f"{TELLER}:1"]
+    apply(teller, test_operator.build_row("evacuate/z2", 12, None))
+    relay.take_seen(node, relay.list_seen(teller), TELLER)
+    await trio.sleep(0.2)
+    assert node.evacuated == frozenset()
+    # What the store says later of the same rows changes nothing.
+    apply(node, test_operator.build_row("evacuate/z2", 10, b"{}"))
+    assert node.evacuated == frozenset()
+
+
+async def test_news_that_the_store_tells_at_once_are_not_asked_for(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """All nodes hear of a change within milliseconds; asking each other would cost a call each."""
+    node = test_origin.build_origin(0.0).node
+    nursery.start_soon(timer.run, node.wakeups)
+    asked: list[str] = []
+
+    async def connect(address: str) -> trio.abc.Stream:
+        asked.append(address)
+        raise OSError("unreachable")
+
+    nursery.start_soon(news.learn, node, traffic.Current(), connect)
+    apply(node, test_operator.build_row("config", 4, mesh_module.build_config(2)), is_whole=True)
+    before = node.recheck
+    node_module.note_named(node, 9, TELLER)
+    await trio.sleep(0.01)
+    apply(node, test_operator.build_row("config", 9, mesh_module.build_config(7)))
+    await trio.sleep(1.0)
+    assert asked == []
+    # The follow of members and ledgers goes on.
+    assert node.recheck is before
+
+
+async def test_teller_that_can_not_be_reached_is_not_asked_again_and_again(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Another node is asked next, a few times a second."""
+    node = test_origin.build_origin(0.0).node
+    nursery.start_soon(timer.run, node.wakeups)
+    asked: list[str] = []
+
+    async def connect(address: str) -> trio.abc.Stream:
+        asked.append(address)
+        raise OSError("unreachable")
+
+    nursery.start_soon(news.learn, node, traffic.Current(), connect)
+    node_module.note_named(node, 9, TELLER)
+    await trio.sleep(2.0)
+    assert 3 <= len(asked) <= 8
+    assert asked[0] == f"{TELLER}:1"
+
+
+async def test_removal_that_the_teller_has_not_seen_itself(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """A node that began after an evacuation had ended has no row of it, and tells all it has."""
+    late = test_origin.build_origin(0.0).node
+    teller = test_origin.build_origin(0.0).node
+    config = test_operator.build_row("config", 4, mesh_module.build_config(2))
+    apply(late, config, test_operator.build_row("evacuate/z2", 6, b"{}"), is_whole=True)
+    newer = test_operator.build_row("config", 9, mesh_module.build_config(7))
+    apply(teller, newer, is_whole=True)
+    told = news.tell(teller, f"{news.NEWS_PATH}{late.operator_version}")
+    assert told is not None and news.take(late, traffic.Current(), told)
+    assert late.config == 7
+    assert late.evacuated == frozenset()
+    assert late.operator_version == 9
+    # What this node has learnt it can tell in turn.
+    third = test_origin.build_origin(0.0).node
+    apply(third, config, test_operator.build_row("evacuate/z2", 6, b"{}"), is_whole=True)
+    told = news.tell(late, f"{news.NEWS_PATH}{third.operator_version}")
+    assert told is not None and news.take(third, traffic.Current(), told)
+    assert third.evacuated == frozenset()
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b"x\x9c", b"\x00" * 64])
+async def test_unreadable_news(body: bytes, autojump_clock: trio.testing.MockClock) -> None:
+    """They change nothing."""
+    node = test_origin.build_origin(0.0).node
+    assert not news.take(node, traffic.Current(), body)
+    assert node.operator_version == 0
+    assert news.tell(node, f"{news.NEWS_PATH}x") is None
+
+
+async def test_node_answers_what_it_knows_of_the_operator() -> None:
+    """Over the port for other nodes of a running daemon."""
+    async with mesh_module.open_mesh([mesh_module.ORDERS]) as mesh:
+        entry = mesh.daemons[0]
+        address = entry.node.place.peers_address
+
+        async def is_known() -> bool:
+            return entry.node.config is not None
+
+        await mesh_module.poll(is_known)
+        request = http.Request(method="GET", path=f"{news.NEWS_PATH}0")
+        sent = await http.fetch(entry.steward.connect, address, request, timeout_s=2.0)
+        other = test_origin.build_origin(0.0).node
+        assert news.take(other, traffic.Current(), sent.unwrap().body)
+        assert other.config == identity.ConfigVersion(1)
--- a/tests/platform/test_operator.py
+++ b/tests/platform/test_operator.py
@@ -72,9 +72,9 @@
     await trio.sleep(0.1)
     assert node.config == 7
     assert node.evacuated == {"z2"}
-    before = node.recheck
+    before = node.named
     node_module.note_named(node, 10)
-    assert node.recheck is before
+    assert node.named is before
 
 
 async def test_versions_never_go_back(autojump_clock: trio.testing.MockClock) -> None:
