End after a missed ping only what waits in vain and can be sent again

Callers saw answers cut in the middle although their targets had finished and the bytes were arriving.

Cause: a missed ping was taken for a fact about each request at the node. Every repeatable one was ended, also one whose answer was arriving or had begun at its caller, and again with each further ping, progress or not. Class of fault: a suspicion about a node treated as a fact about each of its requests.

Evidence: test_cut_answers: cut after 89,957 of 100,000 bytes, and no answer although bytes came every 0.5 s; both are whole now. A frozen node's lookups and orders end as before (test_reachability).

Change: bytes that came since the ping was sent answer it. A request is ended when it has waited since before the ping, and for 0.4 s at least; one whose answer is arriving, like an order, after 1.5 s; one whose answer has begun at its caller is left to the deadline and the kernel, because it can't be sent again. test_attempt calls pool.abandon by its new form; what it checks is the same.

--- a/src/ebonyvalve/connection/liveness.py
+++ b/src/ebonyvalve/connection/liveness.py
@@ -164,6 +164,15 @@
     ]
 
 
+def is_silent(connection: Connection, since: float) -> bool:
+    """Return whether bytes have been awaited since a time, and none have come.
+
+    :param connection: its state.
+    :param since: seconds on the node's clock.
+    """
+    return connection.phase is Phase.AWAITING and _read_silence(connection) <= since
+
+
 def find_idle(connections: Connections, *, now: float) -> list[ConnectionId]:
     """Return connections that were idle for too long to be trusted.
 
--- a/src/ebonyvalve/connection/pool.py
+++ b/src/ebonyvalve/connection/pool.py
@@ -37,8 +37,10 @@
 class Slot:
     """One connection with what the policy knows of it.
 
-    ``scope`` covers its present request, and ``is_repeatable`` says that this may be sent again.
-    ``cut`` says why that request was ended before its answer was whole, if it was.
+    ``scope`` covers its present request, ``is_repeatable`` says that this may be sent again, and
+    ``is_arriving`` that the head of its answer has come.
+    ``cut`` says why that request was ended before its answer was whole, if it was. ``is_begun``
+    says whether its caller was sent a part of the answer.
     """
 
     name: liveness.ConnectionId
@@ -47,6 +49,8 @@
     conn: wire.Wire | None = None
     cut: Cut | None = None
     is_repeatable: bool = True
+    is_arriving: bool = False
+    is_begun: collections.abc.Callable[[], bool] = lambda: False
 
 
 Slots = dict[liveness.ConnectionId, Slot]
@@ -222,15 +226,36 @@
     ]
 
 
-def abandon(pool: Pool, address: identity.Address, *, with_orders: bool) -> None:
-    """End the requests that wait for an address as lost.
+def has_progressed(pool: Pool, address: identity.Address, since: float) -> bool:
+    """Return whether bytes have come from an address on any connection since a time.
 
     :param pool: the pool.
     :param address: the other end.
-    :param with_orders: whether also those that may not be sent again.
+    :param since: seconds on the node's clock.
+    """
+    return any(slot.life.progress_at > since for slot in pool.slots.get(address, {}).values())
+
+
+def abandon(
+    pool: Pool, address: identity.Address, *, since: float, patient_since: float | None
+) -> None:
+    """End the requests that have waited for an address in vain.
+
+    An answer that has begun at its caller is left alone: it can't be sent again, so that ending it
+    helps nobody if the other end is only slow.
+
+    :param pool: the pool.
+    :param address: the other end.
+    :param since: requests that were sent, or got bytes, after this are left alone.
+    :param patient_since: the same for those that may not be sent again, and those whose answer is
+        arriving; ``None`` spares all of them.
     """
     for slot in pool.slots.get(address, {}).values():
-        if slot.life.phase is not liveness.Phase.IDLE and (slot.is_repeatable or with_orders):
+        is_patient = slot.is_arriving or not slot.is_repeatable
+        silent_since = patient_since if is_patient else since
+        if silent_since is None or slot.is_begun():
+            continue
+        if liveness.is_silent(slot.life, silent_since):
             slot.cut = Cut.UNREACHABLE
             slot.scope.cancel()
 
--- a/src/ebonyvalve/request/attempt.py
+++ b/src/ebonyvalve/request/attempt.py
@@ -91,6 +91,8 @@
             return
         slot = acquired.unwrap()
         slot.is_repeatable = call.rules is None or call.rules.is_repeatable
+        slot.is_arriving = False
+        slot.is_begun = caller.is_begun
         try:
             with slot.scope:
                 await dispatch.run(
--- a/src/ebonyvalve/request/dispatch.py
+++ b/src/ebonyvalve/request/dispatch.py
@@ -184,6 +184,7 @@
     if head is None:
         return
     liveness.note_progress(slot.life, now())
+    slot.is_arriving = True
     attempt.head_at_s = now()
     attempt.status = head.status_code
     attempt.headers = list(head.headers)
--- a/src/ebonyvalve/request/reachability.py
+++ b/src/ebonyvalve/request/reachability.py
@@ -28,9 +28,9 @@
 PING_TIMEOUT_S = 0.35
 # A node that has answered a ping may take its time for a request.
 TRUST_S = 1.0
-# What may not be sent again is given up only when a node has not answered for this long, because
-# it ends with an unknown outcome.
-ORDER_PATIENCE_S = 1.5
+# What may not be sent again ends with an unknown outcome, and an answer that is arriving is lost;
+# both are given up only when a node has not answered for this long.
+PATIENCE_S = 1.5
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -79,6 +79,7 @@
 
 
 async def _ping(watch: Watch, name: identity.NodeId, address: identity.Address) -> None:
+    sent_at = watch.node.now()
     request = http.Request(method="GET", path=PING_PATH + urllib.parse.quote(name, safe=""))
     sent = await http.fetch(watch.connect, address, request, timeout_s=PING_TIMEOUT_S)
     status = sent.unwrap().status if isinstance(sent, result.Success) else None
@@ -86,7 +87,7 @@
         # What is under way to this address is the other node's.
         note_lost(watch, name, "another node has its address")
     else:
-        note(watch, name, address, is_answered=status == ANSWERED_STATUS)
+        note(watch, name, address, is_answered=status == ANSWERED_STATUS, sent_at=sent_at)
 
 
 def answer(node: node_module.Node, path: str) -> int:
@@ -100,23 +101,37 @@
 
 
 def note(
-    watch: Watch, name: identity.NodeId, address: identity.Address, *, is_answered: bool
+    watch: Watch,
+    name: identity.NodeId,
+    address: identity.Address,
+    *,
+    is_answered: bool,
+    sent_at: float,
 ) -> None:
     """Note whether a node has answered a ping.
 
+    Bytes that came for a request meanwhile show as well that it is there.
+
     :param watch: the state.
     :param name: the node.
     :param address: where it was pinged.
     :param is_answered: whether it has answered in time.
+    :param sent_at: when it was pinged, in seconds on the node's clock.
     """
-    if is_answered:
+    if is_answered or pool.has_progressed(watch.peers, address, sent_at):
         watch.answered_at[name] = watch.node.now()
         if watch.lost.pop(name, None) is not None:
             choice.note_alive(node_module.read_view(watch.node, name))
             decision.record(log, logging.INFO, "peer-regained", peer=name)
         return
     lost_for_s = note_lost(watch, name, f"no answer within {PING_TIMEOUT_S} s")
-    pool.abandon(watch.peers, address, with_orders=lost_for_s >= ORDER_PATIENCE_S)
+    now = watch.node.now()
+    pool.abandon(
+        watch.peers,
+        address,
+        since=min(sent_at, now - SUSPECT_S),
+        patient_since=now - PATIENCE_S if lost_for_s >= PATIENCE_S else None,
+    )
 
 
 def note_lost(watch: Watch, name: identity.NodeId, reason: str) -> float:
