Give the connection and the answer of a ping as much time each

Cause: a ping has a connection of its own and had 0.35 s for it and the answer together, so that it passed the queue of the link twice in that time; and a process that was behind read answers late and took them for missing.

Change: connection and answer have 0.35 s each, and as much more as this process is behind. A frozen node accepts connections at once, and one without power doesn't accept any, so that both are found as soon as before.

--- a/src/ebonyvalve/request/reachability.py
+++ b/src/ebonyvalve/request/reachability.py
@@ -14,7 +14,7 @@
 from ebonyvalve.connection import liveness, pool
 from ebonyvalve.process import decision, http, identity, network
 from ebonyvalve.process import node as node_module
-from ebonyvalve.process.load import choice
+from ebonyvalve.process.load import choice, pace
 
 log = logging.getLogger(__name__)
 
@@ -81,8 +81,7 @@
 async def _ping(watch: Watch, name: identity.NodeId, address: identity.Address) -> None:
     sent_at = watch.node.now()
     request = http.Request(method="GET", path=PING_PATH + urllib.parse.quote(name, safe=""))
-    sent = await http.fetch(watch.connect, address, request, timeout_s=PING_TIMEOUT_S)
-    status = sent.unwrap().status if isinstance(sent, result.Success) else None
+    status = await _fetch_status(watch, address, request)
     if status == OTHER_NODE_STATUS:
         # What is under way to this address is the other node's.
         note_lost(watch, name, "another node has its address")
@@ -90,6 +89,33 @@
         note(watch, name, address, is_answered=status == ANSWERED_STATUS, sent_at=sent_at)
 
 
+async def _fetch_status(
+    watch: Watch, address: identity.Address, request: http.Request
+) -> int | None:
+    """Return the status that answers a ping, or ``None`` if none came in time.
+
+    The connection and the answer have as much time each: both wait for what the other node's link
+    is sending, and a frozen node accepts connections at once.
+    """
+    # Answers that have come are read late when this process is behind.
+    timeout_s = PING_TIMEOUT_S + pace.expect_own(watch.node.behind)
+    stream: trio.abc.Stream | None = None
+    with trio.move_on_after(timeout_s):
+        try:
+            stream = await watch.connect(address)
+        except (OSError, trio.BrokenResourceError):
+            return None
+    if stream is None:
+        return None
+    connected = stream
+
+    async def connect(_: str) -> trio.abc.Stream:
+        return connected
+
+    sent = await http.fetch(connect, address, request, timeout_s=timeout_s)
+    return sent.unwrap().status if isinstance(sent, result.Success) else None
+
+
 def answer(node: node_module.Node, path: str) -> int:
     """Return the status that answers a ping.
 
--- a/tests/request/test_reachability.py
+++ b/tests/request/test_reachability.py
@@ -114,6 +114,19 @@
     assert not slot.scope.cancel_called
 
 
+async def test_process_that_is_behind_reads_answers_late(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """A node short of processor time must not take the others for lost."""
+    peer = Peer()
+    watch = build_watch(nursery, peer)
+    watch.node.behind.late_s = 0.05
+    await send(watch)
+    peer.delay_s = 0.5
+    await watch_for(watch, 3.0)
+    assert not watch.lost
+
+
 async def test_node_that_wakes_is_used_again(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
