Pass a node by only for failures that are its own

What callers saw: after one caller had left while its answer was written, or one answer had broken off after its beginning, other requests for keys of that node were refused for 0.3 s, doubled each time, and requests without keys went elsewhere.

Cause: each attempt over another node that brought no whole answer counted as a failure of that node. Now only a missing connection or one that ends before an answer begins does; reachability finds frozen nodes by itself.

Evidence: test_node_is_passed_by_only_for_what_is_its_own, two of three cases red before.

--- a/src/ebonyvalve/request/attempt.py
+++ b/src/ebonyvalve/request/attempt.py
@@ -150,6 +150,17 @@
     return "caller" if ended.attempt.step is dispatch.Step.CALLER_GONE else "other-end"
 
 
+def shows_loss(ended: Result) -> bool:
+    """Return whether an attempt shows that the other end may be lost.
+
+    An answer that begins shows that it is there, whatever breaks it off later.
+
+    :param ended: the attempt.
+    """
+    is_broken = ended.attempt.step in (dispatch.Step.SEND_FAILED, dispatch.Step.LOST_BEFORE_REPLY)
+    return ended.failure is not None or (is_broken and not ended.is_late)
+
+
 def conclude(ended: Result) -> exchange.Ended:
     """Return what an attempt without a decided answer means for the request.
 
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -325,7 +325,7 @@
     if refused:
         return refused[0]
     concluded = attempt.conclude(ended)
-    if concluded.result.verdict is not outcome.Verdict.ANSWERED and not ended.is_late:
+    if attempt.shows_loss(ended):
         choice.note_failure(view, node.now())
     return delivery.Ended(
         result=concluded.result, is_told=concluded.is_told, retry_after_s=RETRY_AFTER_S
--- a/tests/request/test_cut_answers.py
+++ b/tests/request/test_cut_answers.py
@@ -1,6 +1,7 @@
 """Answers that break off on their way from another node, and what the caller gets."""
 
 import collections.abc
+import dataclasses
 import functools
 
 import h11
@@ -9,6 +10,7 @@
 import trio.testing
 
 from ebonyvalve.connection import pool
+from ebonyvalve.process import node as node_module
 from ebonyvalve.request import attempt, exchange, front, origin, outcome, reachability
 from tests.request import test_origin
 
@@ -34,6 +36,10 @@
     await stream.aclose()
 
 
+async def refuse_to_serve(stream: trio.abc.Stream) -> None:
+    await stream.aclose()
+
+
 async def stall(stream: trio.abc.Stream) -> None:
     await stream.send_all(build_answer(SMALL)[:-1])
 
@@ -162,3 +168,28 @@
     """Issue 15: answers that had begun at their callers were cut when a busy node missed a ping."""
     got = await ask(monkeypatch, [script], is_repeatable=True)
     assert got == (200, size)
+
+
+@pytest.mark.parametrize(
+    ("script", "is_caller_there", "is_passed_by"),
+    [(answer, False, False), (break_off, True, False), (refuse_to_serve, True, True)],
+)
+async def test_node_is_passed_by_only_for_what_is_its_own(
+    nursery: trio.Nursery,
+    autojump_clock: trio.testing.MockClock,
+    script: Script,
+    is_caller_there: bool,
+    is_passed_by: bool,
+) -> None:
+    """A caller that left, or a target that broke off, had a node's keys refused for 0.3 s."""
+
+    async def take(*_: object) -> bool:
+        return is_caller_there
+
+    entry = build_mesh(nursery, [script])
+    call = test_origin.build_call(is_repeatable=True)
+    call.headers = [(b"host", b"x")]
+    caller = dataclasses.replace(test_origin.NO_CALLER, reply=take, write=take, finish=take)
+    view = node_module.read_view(entry.node, test_origin.NAMES[0])
+    await origin._hop(entry, call, caller, test_origin.NAMES[0], view)
+    assert (view.avoid_until > trio.current_time()) is is_passed_by
