Let silence end only requests that can be sent again

What callers saw: an order at which a slow target worked for over 3 s ended as unknown (502) with time left, and an answer that had begun was cut when its rest was 3 s late, while other requests at the same address went on.

Cause: a connection without bytes for 3 s while others progress was retired with whatever it carried. Same class as the missed pings: silence taken for loss. A lookup is still sent elsewhere then; an order that has been sent and an answer that has begun at its caller gain nothing from it, and are left to the kernel's probes and to the deadline.

--- a/src/ebonyvalve/connection/pool.py
+++ b/src/ebonyvalve/connection/pool.py
@@ -188,6 +188,9 @@
 async def sweep(pool: Pool, *, p99_s: float | None) -> None:
     """Retire silent connections, which ends their requests, and those idle for too long.
 
+    Only requests that can be sent again are ended: nothing is gained by ending the others, as their
+    targets may only be slow.
+
     :param pool: the pool.
     :param p99_s: 99th percentile of the latency in seconds, if known.
     """
@@ -197,6 +200,8 @@
             await discard(pool, address, slots[name])
         lives = {name: slot.life for name, slot in slots.items()}
         for name in liveness.find_silent(lives, now=pool.now(), p99_s=p99_s):
+            if not slots[name].is_repeatable or slots[name].is_begun():
+                continue
             slots[name].cut = Cut.SILENT
             slots[name].scope.cancel()
             decision.record(
--- /dev/null
+++ b/tests/connection/test_pool_silence.py
@@ -0,0 +1,44 @@
+"""Requests that get no bytes for long, while others to the same address do."""
+
+import pytest
+import trio
+import trio.testing
+
+from ebonyvalve.connection import liveness, pool
+from ebonyvalve.process import identity
+from ebonyvalve.request import attempt
+
+ADDRESS = identity.Address("10.0.0.2:1")
+
+
+async def ask(state: pool.Pool) -> pool.Slot:
+    slot = (await pool.acquire(state, ADDRESS, p99_s=None)).unwrap()
+    liveness.note_asked(slot.life, trio.current_time())
+    return slot
+
+
+@pytest.mark.parametrize(
+    ("is_repeatable", "is_begun", "is_ended"),
+    [(True, False, True), (False, False, False), (True, True, False)],
+)
+async def test_silence_ends_only_what_can_be_sent_again(
+    autojump_clock: trio.testing.MockClock, is_repeatable: bool, is_begun: bool, is_ended: bool
+) -> None:
+    """Orders that targets worked on for over 3 s ended as unknown, with time left.
+
+    An answer that has begun at its caller was cut likewise when its rest was late.
+    """
+
+    async def connect(_: str) -> trio.abc.Stream:
+        return trio.testing.memory_stream_pair()[0]
+
+    state = pool.Pool(connect=connect, now=trio.current_time)
+    long = await ask(state)
+    long.is_repeatable = is_repeatable
+    long.is_begun = lambda: is_begun
+    other = await ask(state)
+    for _ in range(10):
+        await trio.sleep(0.5)
+        liveness.note_progress(other.life, trio.current_time())
+        await pool.sweep(state, p99_s=attempt.SLOW_ANSWER_S)
+    assert long.scope.cancel_called is is_ended
