Don't take a caller that sends ahead for one that has left

What callers saw: the connection closed without an answer when over 32 KB of further requests came while one was under way. The watch for the caller's close stopped reading there and reported the caller as gone.

Evidence: test_caller_that_sends_ahead_has_not_left, red before.

--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -159,6 +159,8 @@
 async def wait_closed(wire: Wire) -> None:
     """Return when the peer closes the connection; keep data that comes before that.
 
+    The close of a peer that sends a lot before it is not noticed, as reading stops then.
+
     :param wire: a server's side whose request has been read in full.
     """
     while True:
@@ -170,7 +172,7 @@
             return
         wire.http.receive_data(bytes(data))
         if len(wire.http.trailing_data[0]) > MAX_HEAD_BYTES:
-            return
+            await trio.sleep_forever()
 
 
 def recycle(wire: Wire) -> bool:
--- a/tests/request/test_front.py
+++ b/tests/request/test_front.py
@@ -104,6 +104,29 @@
     assert [part[-1:] for part in reply.split(b"HTTP/1.1 200")[1:]] == [b"3", b"0"]
 
 
+async def test_caller_that_sends_ahead_has_not_left(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Its request was given up, and the connection closed without an answer, after 32 KB more."""
+
+    async def answer_if_there(call: exchange.Call, caller: exchange.Caller) -> outcome.Outcome:
+        with trio.move_on_after(1.0):
+            await caller.wait_gone()
+            return outcome.doubt(outcome.Reason.CALLER_GONE)
+        return await answer_all(call, caller)
+
+    listener = build_front()
+    listener.handle = answer_if_there
+    near, far = trio.testing.memory_stream_pair()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(front.serve, listener, far)
+        await near.send_all(GOOD)
+        await trio.sleep(0.1)
+        await near.send_all(GOOD * 1000)
+        assert bytes(await near.receive_some()).startswith(b"HTTP/1.1 200")
+        nursery.cancel_scope.cancel()
+
+
 async def test_idle_connection_is_closed(autojump_clock: trio.testing.MockClock) -> None:
     """Guards against connections that a caller opens and never uses."""
     start_s = trio.current_time()
