Don't cut an answer whose caller reads late

What callers saw: an answer cut in the middle when the caller had not read for 3 s.

Cause: TCP_USER_TIMEOUT of 3 s on accepted connections. The kernel ends a connection with it also while the other end acknowledges the probes of a closed window. The same happened between nodes, as a node that waits for its caller doesn't read either.

Change: accepted connections have the keep-alive probes only; a write that doesn't come about ends at the request's deadline. Connections that this node opens keep the time-out, because probes begin only when everything sent has been acknowledged.

Evidence: test_caller_that_reads_late_gets_its_answer, on the kernel: ETIMEDOUT before.

--- a/src/ebonyvalve/platform/sockets.py
+++ b/src/ebonyvalve/platform/sockets.py
@@ -26,12 +26,17 @@
         sock.close()
         raise
     set_options(sock)
+    # Probes begin only when all that was sent has been acknowledged.
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
     return trio.SocketStream(sock)
 
 
 def set_options(sock: trio.socket.SocketType) -> None:
     """Let the kernel notice another end that has fallen silent.
 
+    Accepted connections have no more than this: the time-out for sent bytes would also cut an
+    answer whose caller reads late.
+
     :param sock: a connected socket.
     """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -39,7 +44,6 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
 async def listen(address: str, serve: network.Serve) -> None:
