Never take an earlier refusal on a kept connection for a later one

Callers were told "not run, try again" for orders that an instance was running (REFUSED), or such an order ran at a second instance (TWICE): a faulty instance writes an earlier refusal once more on a kept connection, where the answer to the next request is expected.

Cause: `dispatch` took every answer that does not name another request for the one that was asked for. A refusal that names no request, and the refusal of the same request that is sent again to the same target on the same connection, were both believed.

A refusal is now proof only if it can't be an earlier one: - a connection that brought a refusal without a name is closed after it, so that there is none that could come again; - a connection remembers which requests were refused on it and is not given to one of them again; - a connection on which more was read than was asked for, on which an answer was skipped, or which has bytes waiting while it is idle, is closed; - after a skipped answer, a refusal without a name counts as "may have run". Connections are kept as before where refusals name their request and nothing is unasked.

The product's own targets need not name requests; the connections of their refusals are closed now.

--- a/src/ebonyvalve/connection/pool.py
+++ b/src/ebonyvalve/connection/pool.py
@@ -16,6 +16,8 @@
 log = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_S = 0.25
+# Each is remembered by the connection.
+MOST_REFUSALS = 64
 
 
 class Cut(enum.Enum):
@@ -38,7 +40,9 @@
     """One connection with what the policy knows of it.
 
     ``scope`` covers its present request, and ``is_repeatable`` says that this may be sent again.
-    ``cut`` says why that request was ended before its answer was whole, if it was.
+    ``cut`` says why that request was ended before its answer was whole, if it was. ``refused``
+    are the requests that were turned away on the connection; ``is_spent`` says that a further
+    answer on it could not be told from one that it has brought.
     """
 
     name: liveness.ConnectionId
@@ -47,6 +51,8 @@
     conn: wire.Wire | None = None
     cut: Cut | None = None
     is_repeatable: bool = True
+    refused: set[str] = dataclasses.field(default_factory=set)
+    is_spent: bool = False
 
 
 Slots = dict[liveness.ConnectionId, Slot]
@@ -70,7 +76,12 @@
 
 
 async def acquire(
-    pool: Pool, address: identity.Address, *, p99_s: float | None, max_idle_s: float | None = None
+    pool: Pool,
+    address: identity.Address,
+    *,
+    p99_s: float | None,
+    max_idle_s: float | None = None,
+    request_id: str = "",
 ) -> SlotResult:
     """Return a connection, reused or new; wait while the bound is reached.
 
@@ -79,6 +90,7 @@
     :param p99_s: 99th percentile of the other end's latency in seconds, if known.
     :param max_idle_s: a connection that was idle for longer is not reused. The other end may have
         closed it, and a request that cannot be repeated would end with an unknown outcome.
+    :param request_id: the request; it gets no connection on which it was turned away.
     """
     while True:
         slots = pool.slots[address]
@@ -98,7 +110,8 @@
             # Held before anything is awaited, so that no other request takes it.
             slot.life.phase = liveness.Phase.HELD_BY_CALLER
             is_fresh = max_idle_s is None or idle_s <= max_idle_s
-            if is_fresh and not (slot.conn is not None and await wire.find_closed(slot.conn)):
+            is_quiet = slot.conn is not None and wire.is_quiet(slot.conn)
+            if is_fresh and is_quiet and request_id not in slot.refused:
                 slot.scope = trio.CancelScope()
                 return result.Success(slot)
             await discard(pool, address, slot)
@@ -151,13 +164,27 @@
     :param pool: the pool.
     :param slot: from :func:`acquire`.
     """
-    if slot.conn is None or not wire.recycle(slot.conn):
+    if slot.conn is None or slot.is_spent or not wire.is_drained(slot.conn):
+        return False
+    if not wire.recycle(slot.conn):
         return False
     liveness.note_idle(slot.life, pool.now())
     _wake(pool)
     return True
 
 
+def note_refused(slot: Slot, request_id: str, *, is_named: bool) -> None:
+    """Note that a request was turned away on a connection.
+
+    :param slot: from :func:`acquire`.
+    :param request_id: the request.
+    :param is_named: whether the refusal names it; others can't be told from each other.
+    """
+    slot.refused.add(request_id)
+    if not is_named or len(slot.refused) >= MOST_REFUSALS:
+        slot.is_spent = True
+
+
 async def discard(pool: Pool, address: identity.Address, slot: Slot) -> None:
     """Close a connection at once.
 
--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -97,11 +97,11 @@
 
 
 async def find_closed(wire: Wire) -> bool:
-    """Return whether the peer has closed an idle connection, without waiting.
+    """Return whether the caller has closed the connection, without waiting.
 
-    Bytes that the peer has sent meanwhile are kept for the next exchange.
+    Bytes that it has sent meanwhile are kept for the next exchange.
 
-    :param wire: a connection on which nothing is asked for.
+    :param wire: a server's side whose request has been read in full.
     """
     stream = wire.stream
     if not isinstance(stream, trio.SocketStream) or not stream.socket.is_readable():
@@ -114,6 +114,25 @@
     return not data
 
 
+def is_quiet(wire: Wire) -> bool:
+    """Return whether the peer has neither closed an idle connection nor sent unasked bytes on it.
+
+    :param wire: a client's side on which nothing is asked for.
+    """
+    stream = wire.stream
+    is_readable = isinstance(stream, trio.SocketStream) and stream.socket.is_readable()
+    return not is_readable and is_drained(wire)
+
+
+def is_drained(wire: Wire) -> bool:
+    """Return whether nothing follows the message that was read last.
+
+    :param wire: a client's side on which one exchange has ended.
+    """
+    left, is_closed = wire.http.trailing_data
+    return not left and not is_closed
+
+
 async def send(wire: Wire, *events: h11.Event) -> SendResult:
     """Write events in one call of the stream.
 
--- a/src/ebonyvalve/platform/dialect.py
+++ b/src/ebonyvalve/platform/dialect.py
@@ -7,7 +7,7 @@
 from ebonyvalve.connection import wire
 from ebonyvalve.platform import announcement
 from ebonyvalve.process import identity
-from ebonyvalve.request import delivery, exchange, front, origin, relay
+from ebonyvalve.request import delivery, exchange, front, origin, proof, relay
 
 REQUEST_ID = b"x-attempt-id"
 # Milliseconds that the caller waits; a target stops work at what it receives.
@@ -27,7 +27,7 @@
 
 def open_dialect() -> delivery.Dialect:
     """Return how targets are spoken to."""
-    return delivery.Dialect(dress=dress, judge=judge, is_foreign=is_foreign)
+    return delivery.Dialect(dress=dress, judge=judge, identify=identify)
 
 
 def dress(call: exchange.Call, lifetime: identity.Lifetime, budget_s: float) -> exchange.Headers:
@@ -62,8 +62,8 @@
     return delivery.Judgement.ANSWER
 
 
-def is_foreign(headers: exchange.Headers, request_id: str) -> bool:
-    """Return whether an answer belongs to another request.
+def identify(headers: exchange.Headers, request_id: str) -> proof.Naming:
+    """Return which request an answer names.
 
     Targets name the request in what they answer. A sealed answer that names none can't be told
     from a second answer to an earlier request.
@@ -73,8 +73,9 @@
     """
     found = wire.find_header(headers, REQUEST_ID)
     if found is None:
-        return wire.find_header(headers, SEAL) is not None
-    return found != request_id.encode()
+        is_sealed = wire.find_header(headers, SEAL) is not None
+        return proof.Naming.OTHER if is_sealed else proof.Naming.NONE
+    return proof.Naming.OWN if found == request_id.encode() else proof.Naming.OTHER
 
 
 def build_parse(
--- a/src/ebonyvalve/request/attempt.py
+++ b/src/ebonyvalve/request/attempt.py
@@ -32,7 +32,7 @@
     p99_s: float | None = None
     max_idle_s: float | None = None
     awaits_continue: bool = False
-    is_foreign: dispatch.IsForeign | None = None
+    identify: dispatch.Identify | None = None
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -83,7 +83,11 @@
 ) -> None:
     with trio.move_on_after(max(call.deadline_at_s - now(), 0)) as scope:
         acquired = await pool.acquire(
-            way.pool, way.address, p99_s=way.p99_s, max_idle_s=way.max_idle_s
+            way.pool,
+            way.address,
+            p99_s=way.p99_s,
+            max_idle_s=way.max_idle_s,
+            request_id=call.request_id,
         )
         if isinstance(acquired, result.Failure):
             ended.failure = acquired.failure()
@@ -102,7 +106,7 @@
                     attempt=ended.attempt,
                     now=now,
                     awaits_continue=way.awaits_continue,
-                    is_foreign=way.is_foreign,
+                    identify=way.identify,
                 )
         finally:
             ended.cut = slot.cut
--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -12,7 +12,7 @@
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant, ledger
 from ebonyvalve.process.load import gate, heat, pace
-from ebonyvalve.request import attempt, crash, dispatch, exchange, outcome
+from ebonyvalve.request import attempt, crash, dispatch, exchange, outcome, proof
 
 ANY_KEY = -1
 # Callers that are refused come back, mostly twice.
@@ -38,17 +38,20 @@
     SPOILED = "spoiled"
 
 
+REFUSALS = frozenset({Judgement.NOT_RUN, Judgement.MISPLACED})
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Dialect:
     """How the target is spoken to.
 
     ``dress`` returns the headers of a request for a target with a time budget in seconds;
-    ``judge`` says what an answer is, ``is_foreign`` whether it belongs to another request id.
+    ``judge`` says what an answer is, ``identify`` which request it names, as seen from an id.
     """
 
     dress: collections.abc.Callable[[exchange.Call, identity.Lifetime, float], exchange.Headers]
     judge: collections.abc.Callable[[int, exchange.Headers], Judgement]
-    is_foreign: collections.abc.Callable[[exchange.Headers, str], bool]
+    identify: collections.abc.Callable[[exchange.Headers, str], proof.Naming]
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -269,6 +272,9 @@
 
     def relay(status: int, headers: exchange.Headers) -> exchange.Headers | None:
         judged[0] = dialect.judge(status, headers)
+        is_proof = proof.is_proof(ended.attempt.naming, is_clean=ended.attempt.is_clean)
+        if judged[0] in REFUSALS and not is_proof:
+            judged[0] = Judgement.SPOILED
         if judged[0] is not Judgement.ANSWER:
             return None
         return dispatch.filter_headers(headers)
@@ -280,7 +286,7 @@
         extra=dialect.dress(call, target.lifetime, left_s),
         relay=relay,
         p99_s=attempt.SLOW_ANSWER_S,
-        is_foreign=lambda headers: dialect.is_foreign(headers, call.request_id),
+        identify=lambda headers: dialect.identify(headers, call.request_id),
     )
     with _protect_order(delivery, call):
         await attempt.run(way, call, caller, node.now, ended)
--- a/src/ebonyvalve/request/dispatch.py
+++ b/src/ebonyvalve/request/dispatch.py
@@ -10,7 +10,7 @@
 
 from ebonyvalve import errors
 from ebonyvalve.connection import liveness, pool, wire
-from ebonyvalve.request import exchange
+from ebonyvalve.request import exchange, proof
 
 # Headers that concern one connection only (RFC 9110, section 7.6.1).
 CONNECTION_HEADERS = {
@@ -45,6 +45,8 @@
 
     ``is_sent`` says that bytes of the request may have reached the other end. ``is_body_open``
     says that the caller's body was read beyond the held prefix, so that it cannot be sent again.
+    ``naming`` says which request the answer names, ``is_clean`` that its connection has brought
+    neither a refusal nor an unasked answer before.
     """
 
     step: Step = Step.LOST_BEFORE_REPLY
@@ -56,12 +58,14 @@
     # What the caller's end has taken of the answer's body.
     body_bytes: int = 0
     head_at_s: float | None = None
+    naming: proof.Naming = proof.Naming.NONE
+    is_clean: bool = True
 
 
 # Returns the headers to send to the caller, or None to withhold the answer.
 Relay = collections.abc.Callable[[int, exchange.Headers], exchange.Headers | None]
-# Returns whether an answer belongs to another request than the one that was sent.
-IsForeign = collections.abc.Callable[[exchange.Headers], bool]
+# Returns which request an answer names, as seen from the one that was sent.
+Identify = collections.abc.Callable[[exchange.Headers], proof.Naming]
 
 
 async def run(
@@ -74,7 +78,7 @@
     attempt: Attempt,
     now: collections.abc.Callable[[], float],
     awaits_continue: bool = False,
-    is_foreign: IsForeign | None = None,
+    identify: Identify | None = None,
 ) -> None:
     """Send a request on a connection and pass its answer on.
 
@@ -89,7 +93,8 @@
     :param now: returns the time in seconds.
     :param awaits_continue: keep the rest of the body until the other end asks for it, so that a
         request that is turned away can be sent elsewhere.
-    :param is_foreign: tells late answers to earlier requests, which are skipped.
+    :param identify: tells answers to other requests, which are skipped; without it, each answer
+        is taken for that to this request.
     """
     if slot.conn is None:
         raise errors.InvariantError("a connection in use has no stream")
@@ -107,7 +112,7 @@
         attempt.step = Step.SEND_FAILED
         return
     if call.is_whole:
-        await _pass_answer(slot, conn, caller, relay, attempt, trio.Event(), now, is_foreign)
+        await _pass_answer(slot, call, caller, relay, attempt, trio.Event(), now, identify)
         return
     proceed = trio.Event()
     if not awaits_continue:
@@ -116,7 +121,7 @@
         nursery.start_soon(
             _pass_body, slot, conn, caller, attempt, nursery.cancel_scope, proceed, now
         )
-        await _pass_answer(slot, conn, caller, relay, attempt, proceed, now, is_foreign)
+        await _pass_answer(slot, call, caller, relay, attempt, proceed, now, identify)
         nursery.cancel_scope.cancel()
 
 
@@ -171,24 +176,32 @@
 
 async def _pass_answer(
     slot: pool.Slot,
-    conn: wire.Wire,
+    call: exchange.Call,
     caller: exchange.Caller,
     relay: Relay,
     attempt: Attempt,
     proceed: trio.Event,
     now: collections.abc.Callable[[], float],
-    is_foreign: IsForeign | None,
+    identify: Identify | None,
 ) -> None:
-    head = await _receive_head(conn, proceed, is_foreign)
+    conn = slot.conn
+    assert conn is not None
+    head = await _receive_head(slot, conn, proceed, identify)
     if head is None:
         return
     liveness.note_progress(slot.life, now())
     attempt.head_at_s = now()
     attempt.status = head.status_code
     attempt.headers = list(head.headers)
+    attempt.is_clean = not (slot.refused or slot.is_spent)
+    if identify is not None:
+        attempt.naming = identify(attempt.headers)
     headers = relay(head.status_code, attempt.headers)
     if headers is None:
         attempt.step = Step.WITHHELD
+        if identify is not None:
+            is_named = attempt.naming is proof.Naming.OWN
+            pool.note_refused(slot, call.request_id, is_named=is_named)
         await _skip_answer(conn)
         return
     attempt.is_reply_begun = True
@@ -200,7 +213,7 @@
 
 
 async def _receive_head(
-    conn: wire.Wire, proceed: trio.Event, is_foreign: IsForeign | None
+    slot: pool.Slot, conn: wire.Wire, proceed: trio.Event, identify: Identify | None
 ) -> h11.Response | None:
     while True:
         received = await wire.receive(conn)
@@ -208,8 +221,9 @@
             return None
         event = received.unwrap()
         if isinstance(event, h11.Response):
-            if is_foreign is None or not is_foreign(list(event.headers)):
+            if identify is None or identify(list(event.headers)) is not proof.Naming.OTHER:
                 return event
+            slot.is_spent = True
             await _skip_answer(conn)
             if not wire.expect_another(conn):
                 return None
--- a/src/ebonyvalve/request/local.py
+++ b/src/ebonyvalve/request/local.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import functools
 import logging
 
 import trio
@@ -27,6 +28,7 @@
     exchange,
     front,
     outcome,
+    proof,
     token,
 )
 from ebonyvalve.request import (
@@ -160,9 +162,18 @@
         relay=relay,
         p99_s=straggler.read_quantile(here.books[job.service.name], 0.99),
         max_idle_s=MAX_IDLE_ONCE_S if is_once else None,
+        identify=functools.partial(_identify, job.call.request_id.encode()),
     )
 
 
+def _identify(request_id: bytes, headers: exchange.Headers) -> proof.Naming:
+    """Return which request an answer names; a target need not name any."""
+    found = wire.find_header(headers, front.REQUEST_ID_HEADER)
+    if found is None:
+        return proof.Naming.NONE
+    return proof.Naming.OWN if found == request_id else proof.Naming.OTHER
+
+
 def list_extra(call: exchange.Call, now_s: float) -> exchange.Headers:
     """Return the headers that go with a request at each hop.
 
--- /dev/null
+++ b/tests/request/test_refusals.py
@@ -0,0 +1,186 @@
+"""Refusals of a target that writes an earlier one once more on a kept connection."""
+
+import dataclasses
+
+import h11
+import pytest
+import trio
+import trio.testing
+
+from ebonyvalve.connection import pool
+from ebonyvalve.platform import dialect
+from ebonyvalve.process import http, identity, member
+from ebonyvalve.process import node as node_module
+from ebonyvalve.request import delivery, exchange, origin, outcome
+from tests.request import test_origin
+
+# How long the faulty target takes between the extra answer and the real one.
+WORK_S = 0.05
+
+
+@dataclasses.dataclass(kw_only=True)
+class Target:
+    """A target that refuses the ids in ``full`` once, and repeats refusals as ``when`` says.
+
+    ``ran`` lists the ids of requests that it began to run.
+    """
+
+    status: int = 503
+    is_named: bool = True
+    when: str = "before-answer"
+    full: set[str] = dataclasses.field(default_factory=set)
+    ran: list[str] = dataclasses.field(default_factory=list)
+    opened: int = 0
+    nursery: trio.Nursery
+
+    async def connect(self, _: str) -> trio.abc.Stream:
+        ours, theirs = trio.testing.memory_stream_pair()
+        self.opened += 1
+        self.nursery.start_soon(self.serve, theirs)
+        return ours
+
+    async def serve(self, stream: trio.abc.Stream) -> None:
+        try:
+            await self._serve(stream)
+        except (trio.BrokenResourceError, h11.ProtocolError):
+            return
+
+    async def _serve(self, stream: trio.abc.Stream) -> None:
+        repeated = b""
+        while True:
+            protocol = h11.Connection(h11.SERVER)
+            head, _ = await http.receive_message(stream, protocol)
+            if not isinstance(head, h11.Request):
+                return
+            name = dict(head.headers)[dialect.REQUEST_ID].decode()
+            if name in self.full:
+                self.full.discard(name)
+                repeated = build_refusal(self.status, name if self.is_named else None)
+                is_twice = self.when == "with-refusal"
+                await stream.send_all(repeated * (2 if is_twice else 1))
+                if self.when == "idle":
+                    await trio.sleep(WORK_S)
+                    await stream.send_all(repeated)
+                continue
+            self.ran.append(name)
+            if self.when == "before-answer" and repeated:
+                await stream.send_all(repeated)
+            await trio.sleep(WORK_S)
+            await stream.send_all(build_answer(name))
+
+
+def build_refusal(status: int, name: str | None) -> bytes:
+    named = f"X-Attempt-Id: {name}\r\n" if name else ""
+    return f"HTTP/1.1 {status} No\r\n{named}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode()
+
+
+def build_answer(name: str) -> bytes:
+    head = f"X-Attempt-Id: {name}\r\nX-Response-Seal: s\r\nContent-Length: 2\r\n\r\n"
+    return b"HTTP/1.1 200 OK\r\n" + head.encode() + b"ok"
+
+
+def build_caller() -> exchange.Caller:
+    async def reply(status: int, headers: exchange.Headers) -> bool:
+        return True
+
+    async def write(data: bytes) -> bool:
+        return True
+
+    async def finish() -> bool:
+        return True
+
+    async def find_gone() -> bool:
+        return False
+
+    return dataclasses.replace(
+        test_origin.NO_CALLER, reply=reply, write=write, finish=finish, find_gone=find_gone
+    )
+
+
+def build_entry(target: Target) -> origin.Origin:
+    """Return a node beside the faulty target, both of the service of orders."""
+    entry = test_origin.build_origin(2.0)
+    node = entry.node
+    node.place = dataclasses.replace(node.place, service=test_origin.ORDERS)
+    node.members.clear()
+    node.target = node_module.Target(
+        lifetime=identity.Lifetime("t@1"),
+        born_ms=1,
+        slots=4,
+        state=member.TargetState.READY,
+        reported_at=node.now(),
+    )
+    node_module.pulse(node)
+    entry.delivery.dialect = dialect.open_dialect()
+    entry.delivery.pool = pool.Pool(connect=target.connect, now=trio.current_time)
+    return entry
+
+
+def build_order(name: str) -> exchange.Call:
+    call = test_origin.build_call(is_repeatable=False)
+    call.request_id = name
+    call.headers = [(b"host", b"shop.example"), (dialect.REQUEST_ID, name.encode())]
+    return call
+
+
+async def ask(entry: origin.Origin, name: str) -> outcome.Outcome:
+    ended = await delivery.run(entry.delivery, build_order(name), build_caller())
+    return ended.result
+
+
+@pytest.mark.parametrize("when", ["with-refusal", "idle", "before-answer"])
+@pytest.mark.parametrize("is_named", [True, False])
+@pytest.mark.parametrize("status", [503, 429, 421])
+@pytest.mark.parametrize("again", ["r1", "r2"])
+async def test_earlier_refusal_is_never_taken_for_that_of_a_request_that_runs(
+    nursery: trio.Nursery,
+    autojump_clock: trio.testing.MockClock,
+    again: str,
+    status: int,
+    is_named: bool,
+    when: str,
+) -> None:
+    """Callers were told "not run, try again" for orders that a target was running (REFUSED).
+
+    A target writes its refusal of an order once more on the kept connection, where the answer to
+    another order, or to the same one sent again, is expected.
+    """
+    target = Target(nursery=nursery, status=status, is_named=is_named, when=when, full={"r1"})
+    entry = build_entry(target)
+    first = await ask(entry, "r1")
+    assert first.verdict is outcome.Verdict.NOT_RUN
+    await trio.sleep(2 * WORK_S)
+    second = await ask(entry, again)
+    assert target.ran == [again]
+    assert second.verdict is not outcome.Verdict.NOT_RUN
+    # What can be told apart costs no answer.
+    assert second.verdict is outcome.Verdict.ANSWERED
+
+
+async def test_earlier_refusal_sends_no_running_order_to_a_second_target(
+    nursery: trio.Nursery,
+    autojump_clock: trio.testing.MockClock,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An order ran at a second instance while the first was running it (TWICE)."""
+    target = Target(nursery=nursery, is_named=False, full={"r1"})
+    other = Target(nursery=nursery)
+    entry = build_entry(target)
+    node = entry.node
+    entry.peers = pool.Pool(connect=other.connect, now=trio.current_time)
+    for name in ("me", "other"):
+        node.members[identity.NodeId(name)] = member.Member(
+            node=identity.NodeId(name),
+            address=identity.Address(f"{name}:1"),
+            zone=node.place.zone,
+            service=test_origin.ORDERS,
+            lifetime=identity.Lifetime(f"{name}@1"),
+            slots=4,
+            state=member.TargetState.READY,
+        )
+    picks = iter(["me", "other"])
+    monkeypatch.setattr(origin, "_pick", lambda *_, **__: identity.NodeId(next(picks)))
+    await ask(entry, "r1")
+    await origin._try_all(entry, build_order("r2"), build_caller(), [])
+    assert target.ran == ["r2"]
+    assert other.ran == []
