Pass no status on that promises more than the target said

A target's 408, 429 or 503 without X-Not-Executed was passed on as it came. To callers these statuses promise that the request has not run (REFUSED), while PROTOCOL.md says that only the header states it. The same holds for what the router itself says: a doubt (`outcome.doubt`) with a reason that has no status of its own was told as 503.

Such an answer of a target is spoiled now: 502, or another attempt if the request may be repeated. A doubt is told as 502 where it would have been 503.

Evidence: four rows of test_judgements failed with "assert <Judgement.ANSWER> is <Judgement.SPOILED>", 14 of 25 cases of test_doubts_promise_nothing with "assert 503 not in (408, 421, 429, 503)". The row of test_judgements that expected such a 503 to be an answer said "promises nothing", which is so for the target and not for the callers; it is replaced.

--- a/src/ebonyvalve/platform/dialect.py
+++ b/src/ebonyvalve/platform/dialect.py
@@ -21,6 +21,8 @@
 KEY = b"x-shard-key"
 ENCODING = b"content-encoding"
 MISDIRECTED = 421
+# To callers these promise that the request has not run and never will.
+PROMISES = frozenset({408, MISDIRECTED, 429, 503})
 # Set by the router on the way to a target, whatever a caller sent.
 OWN = {BUDGET_MS, EXPECT_TARGET, CALLER}
 
@@ -57,7 +59,8 @@
         return delivery.Judgement.MISPLACED
     if NOT_RUN in names:
         return delivery.Judgement.NOT_RUN
-    if ENCODING in names or (200 <= status < 300 and SEAL not in names):
+    is_unsealed = 200 <= status < 300 and SEAL not in names
+    if ENCODING in names or is_unsealed or status in PROMISES:
         return delivery.Judgement.SPOILED
     return delivery.Judgement.ANSWER
 
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -42,6 +42,8 @@
 # Gives a node that has just lost a target time to learn of it.
 RETRY_AFTER_S = 0.4
 RETRY_SPREAD = 0.6
+# Tells callers that a request has not run and never will.
+PROMISE = 503
 STALE = outcome.doubt(outcome.Reason.CALLER_GONE)
 
 
@@ -407,7 +409,9 @@
     status = result.status
     if result.verdict is outcome.Verdict.NOT_RUN and status not in (400, 404):
         # Whatever kept the request from running, this status promises that it has not run.
-        status = 503
+        status = PROMISE
+    if result.verdict is not outcome.Verdict.NOT_RUN and status == PROMISE:
+        status = 502
     if await caller.reply(status, headers) and await caller.write(body):
         await caller.finish()
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -24,8 +24,11 @@
         (429, [(b"x-not-executed", b"1")], delivery.Judgement.NOT_RUN),
         # Another target has the address now.
         (421, [(b"x-instance-id", b"i-9")], delivery.Judgement.MISPLACED),
-        # A refusal that does not say that nothing was run promises nothing.
-        (503, [], delivery.Judgement.ANSWER),
+        # To callers these promise that nothing has run; without the header, the target does not.
+        (408, [], delivery.Judgement.SPOILED),
+        (429, [], delivery.Judgement.SPOILED),
+        (503, [], delivery.Judgement.SPOILED),
+        (503, SEALED, delivery.Judgement.SPOILED),
     ],
 )
 def test_judgements(
--- a/tests/request/test_origin.py
+++ b/tests/request/test_origin.py
@@ -194,3 +194,17 @@
     await origin.refuse(caller, outcome.refuse(reason), 1.0)
     callers_own = {outcome.Reason.BAD_REQUEST: 400, outcome.Reason.NO_SUCH_SERVICE: 404}
     assert told == [callers_own.get(reason, 503)]
+
+
+@pytest.mark.parametrize("reason", list(outcome.Reason))
+async def test_doubts_promise_nothing(reason: outcome.Reason) -> None:
+    """Callers send an order again after 408, 421, 429 and 503, because it has not run."""
+    told: list[int] = []
+
+    async def reply(status: int, headers: exchange.Headers) -> bool:
+        told.append(status)
+        return False
+
+    caller = dataclasses.replace(NO_CALLER, reply=reply)
+    await origin.refuse(caller, outcome.doubt(reason), 1.0)
+    assert told[0] not in (408, 421, 429, 503)
