--- a/tests/request/test_origin.py
+++ b/tests/request/test_origin.py
@@ -11,7 +11,7 @@
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant
 from ebonyvalve.process.load import gate, heat
-from ebonyvalve.request import crash, delivery, exchange, origin, outcome
+from ebonyvalve.request import crash, delivery, exchange, origin, outcome, proof
 from ebonyvalve.version import traffic
 from tests import places
 
@@ -56,7 +56,7 @@
     dialect = delivery.Dialect(
         dress=lambda call, lifetime, budget_s: [],
         judge=lambda status, headers: delivery.Judgement.ANSWER,
-        is_foreign=lambda headers, request_id: False,
+        identify=lambda headers, request_id: proof.Naming.OWN,
     )
     peers = pool.Pool(connect=connect, now=trio.current_time)
     return origin.Origin(
@@ -194,3 +194,17 @@
     await origin.refuse(caller, outcome.refuse(reason), 1.0)
     callers_own = {outcome.Reason.BAD_REQUEST: 400, outcome.Reason.NO_SUCH_SERVICE: 404}
     assert told == [callers_own.get(reason, 503)]
+
+
+@pytest.mark.parametrize("reason", list(outcome.Reason))
+async def test_doubts_promise_nothing(reason: outcome.Reason) -> None:
+    """Callers send an order again after 408, 421, 429 and 503, because it has not run."""
+    told: list[int] = []
+
+    async def reply(status: int, headers: exchange.Headers) -> bool:
+        told.append(status)
+        return False
+
+    caller = dataclasses.replace(NO_CALLER, reply=reply)
+    await origin.refuse(caller, outcome.doubt(reason), 1.0)
+    assert told[0] not in (408, 421, 429, 503)
