Let an odd announcement or ledger cost its own row only

Callers saw nodes end by themselves: one row of another writer, nested deeply, raised RecursionError in member.decode or ledger.decode, and nothing between them and the nursery of the daemon caught it. Others were accepted and failed where they were used: a port of 70000 in a connect, slots of 0 or of 30 digits in a division, a line break in a lifetime as a header, an announcement that names another node than its row, a ledger with gaps, overlaps or a missing end in the routing of a key. A push with a version beyond the store's counter hid every later ledger.

Now process/decoding.py alone decides how input from outside is read. It wraps msgspec, states the bounds of numbers in the types, returns a Result and never raises. A row that can't be used leaves what was known as it is, the rest of its page is applied and the version moves on; its line is logged once for each version, and the gauge unreadable_rows counts such rows.

A member keeps its last good meaning because its target still runs, and a membership alone gives nobody keys. A ledger keeps it because what a node grants changes only by the node itself or after its lease was ended.

--- a/src/ebonyvalve/process/keyspace/ledger.py
+++ b/src/ebonyvalve/process/keyspace/ledger.py
@@ -9,8 +9,9 @@
 import dataclasses
 
 import msgspec
+from returns import result
 
-from ebonyvalve.process import identity
+from ebonyvalve.process import decoding, identity
 
 NOBODY = identity.Lifetime("")
 
@@ -22,9 +23,9 @@
     released it. ``handover`` is what the last holder gave, for the present holder to show.
     """
 
-    first: int
-    last: int
-    fence: int
+    first: decoding.Key
+    last: decoding.Key
+    fence: decoding.Count
     node: str
     holder: str
     heir_node: str = ""
@@ -64,13 +65,31 @@
     return msgspec.json.encode(ledger)
 
 
-def decode(value: bytes) -> Ledger:
-    """Return the ledger of a row.
+def decode(value: bytes) -> result.Result[Ledger, str]:
+    """Return the ledger of a row, or what is wrong with it.
 
     :param value: the row's bytes.
-    :raises msgspec.DecodeError: if they are no ledger.
     """
-    return msgspec.json.decode(value, type=Ledger)
+    return decoding.decode(value, Ledger, find_fault)
+
+
+def find_fault(ledger: Ledger) -> str:
+    """Return why the spans don't give each key to one holder or to nobody, or an empty text.
+
+    :param ledger: the ledger.
+    """
+    due = 0
+    for span in ledger.spans:
+        if span.first != due or span.last < span.first:
+            return f"span {span.first} to {span.last} does not begin at key {due}"
+        due = span.last + 1
+        is_half = bool(span.holder) != bool(span.node) or bool(span.heir) != bool(span.heir_node)
+        if is_half or (span.heir and not span.holder):
+            return f"span {span.first} to {span.last} names a target without its node"
+        names = (span.node, span.holder, span.heir_node, span.heir)
+        if not all(decoding.is_name(name) for name in names if name):
+            return f"span {span.first} to {span.last} names no target"
+    return "" if due > identity.LAST_SLOT else f"keys from {due} on are in no span"
 
 
 def find(ledger: Ledger, slot: int) -> Span:
--- a/src/ebonyvalve/process/keyspace/records.py
+++ b/src/ebonyvalve/process/keyspace/records.py
@@ -4,9 +4,9 @@
 import functools
 import logging
 
-import msgspec
+from returns import result
 
-from ebonyvalve.process import budget, decision, identity, member, network, push
+from ebonyvalve.process import budget, decision, decoding, identity, member, network, push
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import lease, ledger
 from ebonyvalve.process.store import table
@@ -123,6 +123,8 @@
         for name in list(node.members):
             if MEMBER_PREFIX + name not in names:
                 drop_member(steward, name)
+        places = {describe_place(row.name) for row in read.rows}
+        decoding.forget_missing(node.unreadable, MESH, places)
     for row in read.rows:
         _take_row(steward, row)
     steward.mesh_version = max(steward.mesh_version, read.version)
@@ -144,18 +146,42 @@
 
 
 def _take_row(steward: Steward, row: table.Row) -> None:
+    """Take in one row; one that can't be read leaves what the node knows as it is."""
     key = row.name.key
-    try:
-        if key.startswith(MEMBER_PREFIX):
-            name = identity.NodeId(key.removeprefix(MEMBER_PREFIX))
-            if row.is_removed:
-                drop_member(steward, name)
-            else:
-                _take_member(steward, member.decode(row.value))
-        elif key.startswith(BOOK_PREFIX) and not row.is_removed:
-            _take_book(steward, identity.ServiceId(key.removeprefix(BOOK_PREFIX)), row)
-    except msgspec.DecodeError as exc:
-        decision.record(log, logging.ERROR, "row-unreadable", row=key, cause=str(exc))
+    fault = ""
+    if key.startswith(MEMBER_PREFIX):
+        name = identity.NodeId(key.removeprefix(MEMBER_PREFIX))
+        if row.is_removed:
+            drop_member(steward, name)
+        else:
+            fault = _take_member_row(steward, name, row)
+    elif key.startswith(BOOK_PREFIX) and not row.is_removed:
+        fault = _take_book(steward, identity.ServiceId(key.removeprefix(BOOK_PREFIX)), row)
+    place = describe_place(row.name)
+    if fault:
+        decoding.note_unreadable(steward.node.unreadable, log, place, row.version, fault)
+    else:
+        decoding.note_readable(steward.node.unreadable, place, row.version)
+
+
+def describe_place(name: table.Name) -> str:
+    """Return the name of a row for operators.
+
+    :param name: the row's place.
+    """
+    return f"{name.table}/{name.key}"
+
+
+def _take_member_row(steward: Steward, name: identity.NodeId, row: table.Row) -> str:
+    """Take in an announcement; return what is wrong with it, or an empty text."""
+    decoded = member.decode(row.value)
+    if not isinstance(decoded, result.Success):
+        return decoded.failure()
+    known = decoded.unwrap()
+    if known.node != name:
+        return f"the announcement is of node {known.node!r}"
+    _take_member(steward, known)
+    return ""
 
 
 def drop_member(steward: Steward, name: identity.NodeId) -> None:
@@ -202,11 +228,15 @@
     )
 
 
-def _take_book(steward: Steward, service: identity.ServiceId, row: table.Row) -> None:
+def _take_book(steward: Steward, service: identity.ServiceId, row: table.Row) -> str:
+    """Take in a ledger that is newer than the known one; return what is wrong with it, if it is."""
     before = steward.node.books.get(service)
     if before is not None and before.version >= row.version:
-        return
-    decoded = ledger.decode(row.value)
+        return ""
+    read = ledger.decode(row.value)
+    if not isinstance(read, result.Success):
+        return read.failure()
+    decoded = read.unwrap()
     if before is not None:
         note_receivers(steward, before.ledger, decoded)
     steward.node.books[service] = node_module.Book(ledger=decoded, version=row.version)
@@ -219,6 +249,7 @@
         spans=len(decoded.spans),
         moving=sum(1 for span in decoded.spans if span.heir),
     )
+    return ""
 
 
 def note_receivers(steward: Steward, before: ledger.Ledger, after: ledger.Ledger) -> None:
@@ -256,11 +287,17 @@
     """
     name, _, version = path.removeprefix(LEDGER_PATH).rpartition("/")
     service = identity.ServiceId(name)
-    try:
-        row = table.Row(name=name_book(service), value=body, version=int(version))
-        _take_book(steward, service, row)
-    except (ValueError, msgspec.DecodeError) as exc:
-        decision.record(log, logging.ERROR, "push-unreadable", path=path, cause=str(exc))
+    number = decoding.read_count(version)
+    if number:
+        row = table.Row(name=name_book(service), value=body, version=number)
+        fault = _take_book(steward, service, row)
+        if not fault:
+            place = describe_place(row.name)
+            decoding.note_readable(steward.node.unreadable, place, number)
+    else:
+        fault = "the version is no number"
+    if fault:
+        decision.record(log, logging.ERROR, "push-unreadable", path=path[:200], cause=fault)
         return False
     node_module.pulse(steward.node)
     return True
--- a/src/ebonyvalve/process/member.py
+++ b/src/ebonyvalve/process/member.py
@@ -3,8 +3,9 @@
 import enum
 
 import msgspec
+from returns import result
 
-from ebonyvalve.process import identity
+from ebonyvalve.process import decoding, identity
 
 
 class TargetState(enum.Enum):
@@ -25,7 +26,7 @@
     zone: identity.ZoneId
     service: identity.ServiceId
     lifetime: identity.Lifetime
-    slots: int
+    slots: decoding.Slots
     state: TargetState
 
 
@@ -37,10 +38,23 @@
     return msgspec.json.encode(member)
 
 
-def decode(value: bytes) -> Member:
-    """Return the member of a row.
+def decode(value: bytes) -> result.Result[Member, str]:
+    """Return the member of a row, or what is wrong with it.
 
     :param value: the row's bytes.
-    :raises msgspec.DecodeError: if they are no member.
     """
-    return msgspec.json.decode(value, type=Member)
+    return decoding.decode(value, Member, find_fault)
+
+
+def find_fault(member: Member) -> str:
+    """Return what is wrong with a member's texts, or an empty text.
+
+    :param member: the member.
+    """
+    if not decoding.is_address(member.address):
+        return f"address {member.address!r} is not host:port"
+    for name in ("node", "zone", "service", "lifetime"):
+        text = getattr(member, name)
+        if not decoding.is_name(text):
+            return f"{name} {text!r} is no name"
+    return ""
--- a/src/ebonyvalve/process/node.py
+++ b/src/ebonyvalve/process/node.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from ebonyvalve.process import budget, decision, identity, member, place, timer
+from ebonyvalve.process import budget, decision, decoding, identity, member, place, timer
 from ebonyvalve.process.keyspace import grant, lease, ledger
 from ebonyvalve.process.load import choice, gate, heat, pace, policy
 from ebonyvalve.process.observation import tally
@@ -83,6 +83,7 @@
     books: dict[identity.ServiceId, Book] = dataclasses.field(default_factory=dict)
     views: dict[identity.NodeId, choice.View] = dataclasses.field(default_factory=dict)
     leases: dict[identity.NodeId, OtherLease] = dataclasses.field(default_factory=dict)
+    unreadable: decoding.Unreadable = dataclasses.field(default_factory=decoding.Unreadable)
     clock: lease.StoreClock | None = None
     target: Target | None = None
     is_mesh_known: bool = False
@@ -248,6 +249,7 @@
         "config_version": node.config or 0,
         "config_refused": float(bool(node.refused)),
         "members": len(node.members),
+        "unreadable_rows": len(node.unreadable.versions),
         "target_open": float(is_open(node)),
         "granted_ranges": len(node.grantor.granted),
     }
--- a/tests/process/keyspace/test_ledger.py
+++ b/tests/process/keyspace/test_ledger.py
@@ -2,7 +2,6 @@
 
 import hypothesis
 from hypothesis import strategies as st
-import msgspec
 import pytest
 
 from ebonyvalve.process import identity
@@ -78,7 +77,7 @@
         before = book
         book = take_step(book, step)
         assert_covers(book)
-        assert ledger.decode(ledger.encode(book)) == book
+        assert ledger.decode(ledger.encode(book)).unwrap() == book
         for slot in probes:
             old, new = ledger.find(before, slot), ledger.find(book, slot)
             assert new.fence >= old.fence
@@ -125,5 +124,4 @@
 
 def test_unreadable_row_is_an_error() -> None:
     """The last good ledger stays; a broken row must not pass for an empty one."""
-    with pytest.raises(msgspec.DecodeError):
-        ledger.decode(b'{"spans":[[0,1]]}')
+    assert "at `$.spans[0]`" in ledger.decode(b'{"spans":[[0,1]]}').failure()
--- /dev/null
+++ b/tests/process/keyspace/test_records.py
@@ -0,0 +1,249 @@
+"""Rows of the table that another writer has left: each costs itself and nothing else."""
+
+import hypothesis
+from hypothesis import strategies
+import msgspec
+import pytest
+import trio.testing
+
+from ebonyvalve.process import identity, member
+from ebonyvalve.process.keyspace import ledger, records
+from ebonyvalve.process.store import table
+from tests.request import test_origin
+
+SERVICE = identity.ServiceId("lookup")
+DEEP = b"[" * 100_000 + b"]" * 100_000
+DIGITS = b"9" * 30
+GOOD_MEMBER = {
+    "node": "n1",
+    "address": "10.0.0.1:80",
+    "zone": "z1",
+    "service": "lookup",
+    "lifetime": "t1@5",
+    "slots": 6,
+    "state": "ready",
+}
+GOOD_SPANS = [[0, 999, 3, "n1", "t1@5"], [1000, 65_535, 4, "n2", "t2@5", "n1", "t1@5", "h"]]
+
+ODD_MEMBERS = {
+    "empty": b"",
+    "not-json": b"\x00\xff",
+    "nested": b'{"x":' + DEEP + b"}",
+    "number-too-large": b'{"slots":1e400}',
+    **{
+        name: msgspec.json.encode({**GOOD_MEMBER, **change})
+        for name, change in {
+            "port-out-of-range": {"address": "10.0.0.1:70000"},
+            "port-negative": {"address": "10.0.0.1:-1"},
+            "port-missing": {"address": "10.0.0.1"},
+            "host-label-empty": {"address": "a..b:80"},
+            "host-nul": {"address": "a\0b:80"},
+            "host-line-break": {"address": "10.0.0.1\r\nx:80"},
+            "no-slots": {"slots": 0},
+            "slots-negative": {"slots": -3},
+            "slots-fraction": {"slots": 1.5},
+            "lifetime-empty": {"lifetime": ""},
+            "lifetime-line-break": {"lifetime": "t1\r\nx: y@5"},
+            "service-empty": {"service": ""},
+            "of-another-node": {"node": "n2"},
+            "state-unknown": {"state": "asleep"},
+        }.items()
+    },
+    "slots-huge": msgspec.json.encode(GOOD_MEMBER).replace(b'"slots":6', b'"slots":' + DIGITS),
+}
+ODD_LEDGERS = {
+    "empty": b"",
+    "not-json": b"{",
+    "nested": b'{"spans":[],"x":' + DEEP + b"}",
+    "number-too-large": b'{"spans":[[0,1e400,3,"n1","t1"]]}',
+    "integer-too-large": b'{"spans":[[0,65535,' + DIGITS + b',"n1","t1"]]}',
+    **{
+        name: msgspec.json.encode({"spans": spans})
+        for name, spans in {
+            "no-spans": [],
+            "gap": [[0, 9, 1, "n1", "t1"], [11, 65_535, 1, "n1", "t1"]],
+            "overlap": [[0, 9, 1, "n1", "t1"], [9, 65_535, 1, "n1", "t1"]],
+            "end-missing": [[0, 65_534, 1, "n1", "t1"]],
+            "start-missing": [[1, 65_535, 1, "n1", "t1"]],
+            "beyond-last-key": [[0, 65_536, 1, "n1", "t1"]],
+            "reversed": [[10, 65_535, 1, "n1", "t1"], [0, 9, 1, "n1", "t1"]],
+            "backwards": [[0, -1, 1, "n1", "t1"], [0, 65_535, 1, "n1", "t1"]],
+            "fence-negative": [[0, 65_535, -1, "n1", "t1"]],
+            "holder-without-node": [[0, 65_535, 1, "", "t1"]],
+            "node-without-holder": [[0, 65_535, 1, "n1", ""]],
+            "heir-without-node": [[0, 65_535, 1, "n1", "t1", "", "t2"]],
+            "heir-of-nobody": [[0, 65_535, 1, "", "", "n2", "t2"]],
+            "name-line-break": [[0, 65_535, 1, "n1\n", "t1"]],
+        }.items()
+    },
+}
+
+
+def build_steward() -> records.Steward:
+    node = test_origin.build_origin(0.0).node
+    node.members.clear()
+    node.books.clear()
+    store = table.Store(read=fail, follow=fail, commit=fail)  # type: ignore[arg-type]
+    return records.Steward(node=node, store=store, connect=fail)  # type: ignore[arg-type]
+
+
+async def fail(*_: object) -> table.Trouble:
+    return table.Trouble.UNAVAILABLE
+
+
+def build_row(key: str, value: object, version: int) -> table.Row:
+    body = value if isinstance(value, bytes) else msgspec.json.encode(value)
+    return table.Row(name=table.Name(table=records.MESH, key=key), value=body, version=version)
+
+
+def take(steward: records.Steward, *rows: table.Row, is_whole: bool = False) -> None:
+    version = max(row.version for row in rows)
+    read = table.Rows(rows=rows, version=version, clock=None)
+    records.take_rows(steward, read, is_whole=is_whole)
+
+
+@pytest.mark.parametrize("value", ODD_MEMBERS.values(), ids=ODD_MEMBERS)
+async def test_odd_member_costs_its_own_row(
+    value: bytes, autojump_clock: trio.testing.MockClock, caplog: pytest.LogCaptureFixture
+) -> None:
+    """One odd announcement ended every node that read it, or failed later where it was used."""
+    steward = build_steward()
+    odd = build_row("member/n1", value, 7)
+    rows = [
+        build_row("member/n0", {**GOOD_MEMBER, "node": "n0"}, 6),
+        odd,
+        build_row("member/n2", {**GOOD_MEMBER, "node": "n2"}, 8),
+        build_row("book/lookup", {"spans": GOOD_SPANS}, 9),
+    ]
+    take(steward, *rows, is_whole=True)
+    assert set(steward.node.members) == {"n0", "n2"}
+    assert steward.node.books[SERVICE].version == 9
+    assert steward.mesh_version == 9
+    take(steward, *rows, is_whole=True)
+    logged = [entry for entry in caplog.records if entry.message == "row-unreadable"]
+    assert [entry.fields["row"] for entry in logged] == ["mesh/member/n1"]  # type: ignore[attr-defined]
+
+
+@pytest.mark.parametrize("value", ODD_MEMBERS.values(), ids=ODD_MEMBERS)
+async def test_member_that_turns_odd_keeps_its_last_good_meaning(
+    value: bytes, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Its target still runs, and dropping it would take a living target out of service."""
+    steward = build_steward()
+    take(steward, build_row("member/n1", GOOD_MEMBER, 6), is_whole=True)
+    for is_whole in (False, True):
+        take(steward, build_row("member/n1", value, 7), is_whole=is_whole)
+        assert steward.node.members[identity.NodeId("n1")].lifetime == "t1@5"
+    take(steward, build_row("member/n1", {**GOOD_MEMBER, "lifetime": "t1@6"}, 8))
+    assert steward.node.members[identity.NodeId("n1")].lifetime == "t1@6"
+
+
+@pytest.mark.parametrize("value", ODD_LEDGERS.values(), ids=ODD_LEDGERS)
+async def test_odd_ledger_costs_its_own_row(
+    value: bytes, autojump_clock: trio.testing.MockClock, caplog: pytest.LogCaptureFixture
+) -> None:
+    """An odd ledger ended every node, or sent requests by ranges that overlap or end early."""
+    steward = build_steward()
+    take(steward, build_row("book/lookup", {"spans": GOOD_SPANS}, 6), is_whole=True)
+    for is_whole in (False, True):
+        rows = [build_row("book/lookup", value, 7), build_row("member/n1", GOOD_MEMBER, 8)]
+        take(steward, *rows, is_whole=is_whole)
+        assert steward.node.books[SERVICE].version == 6
+        assert len(steward.node.books[SERVICE].ledger.spans) == 2
+        assert "n1" in steward.node.members
+        assert steward.mesh_version == 8
+    logged = [entry for entry in caplog.records if entry.message == "row-unreadable"]
+    assert [entry.fields["row"] for entry in logged] == ["mesh/book/lookup"]  # type: ignore[attr-defined]
+
+
+@pytest.mark.parametrize("value", ODD_LEDGERS.values(), ids=ODD_LEDGERS)
+async def test_odd_ledger_of_another_node_is_refused(
+    value: bytes, autojump_clock: trio.testing.MockClock
+) -> None:
+    """A message that could not be read ended the node that received it."""
+    steward = build_steward()
+    take(steward, build_row("book/lookup", {"spans": GOOD_SPANS}, 6), is_whole=True)
+    assert not records.take_push(steward, "/ebonyvalve/ledger/lookup/7", value)
+    assert steward.node.books[SERVICE].version == 6
+
+
+@pytest.mark.parametrize("version", ["", "x", "-7", "0", "1e3", "٧", "9" * 30, "9" * 5000])
+async def test_odd_version_of_a_ledger_is_refused(
+    version: str, autojump_clock: trio.testing.MockClock
+) -> None:
+    """A ledger with a version beyond the store's counter hid every later one for good."""
+    steward = build_steward()
+    body = msgspec.json.encode({"spans": GOOD_SPANS})
+    assert not records.take_push(steward, f"/ebonyvalve/ledger/lookup/{version}", body)
+    assert SERVICE not in steward.node.books
+
+
+TREES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False)
+    | strategies.text(),
+    lambda inner: strategies.lists(inner) | strategies.dictionaries(strategies.text(), inner),
+    max_leaves=20,
+)
+
+
+@hypothesis.given(
+    strategies.binary()
+    | TREES.map(msgspec.json.encode)
+    | strategies.fixed_dictionaries({}, optional=dict.fromkeys(GOOD_MEMBER, TREES)).map(
+        lambda change: msgspec.json.encode({**GOOD_MEMBER, **change})
+    )
+)
+def test_any_bytes_are_a_usable_member_or_a_reason(value: bytes) -> None:
+    """What a member holds is used in addresses, headers and divisions without further checks."""
+    decoded = member.decode(value)
+    found = decoded.value_or(None)
+    if found is None:
+        assert decoded.failure()
+        return
+    assert member.decode(member.encode(found)) == decoded
+    assert 0 < 1 / found.slots <= 1
+    assert 0 < int(found.address.rpartition(":")[2]) < 65_536
+    assert found.lifetime and found.service and found.node
+
+
+SPANS = strategies.lists(
+    strategies.tuples(
+        strategies.integers(-1, 65_536),
+        strategies.integers(-1, 65_536),
+        strategies.integers(-1, 2**70),
+        strategies.sampled_from(["", "n1", "\n"]),
+        strategies.sampled_from(["", "t1"]),
+    ),
+    max_size=4,
+)
+
+
+@hypothesis.given(
+    strategies.binary()
+    | TREES.map(msgspec.json.encode)
+    | SPANS.map(lambda spans: msgspec.json.encode({"spans": spans}))
+    | strategies.lists(strategies.integers(0, 65_534), max_size=5).map(
+        lambda ends: msgspec.json.encode(
+            {
+                "spans": [
+                    [first, last, 1, "n1", "t1"]
+                    for first, last in zip(
+                        [0, *(end + 1 for end in ends)], [*ends, 65_535], strict=True
+                    )
+                ]
+            }
+        )
+    )
+)
+def test_any_bytes_are_a_whole_ledger_or_a_reason(value: bytes) -> None:
+    """Every key must be in exactly one span, or a key could have two holders or none."""
+    decoded = ledger.decode(value)
+    found = decoded.value_or(None)
+    if found is None:
+        assert decoded.failure()
+        return
+    keys = [key for span in found.spans for key in range(span.first, span.last + 1)]
+    assert keys == list(range(identity.LAST_SLOT + 1))
--- a/tests/process/keyspace/test_steward.py
+++ b/tests/process/keyspace/test_steward.py
@@ -387,7 +387,7 @@
     assert machine.target.holds == {}
     await wait_whole(world, 1.0)
     assert world.violations == []
-    book = ledger.decode(world.state.rows[("mesh", "", f"book/{SERVICE}")].value or b"")
+    book = ledger.decode(world.state.rows[("mesh", "", f"book/{SERVICE}")].value or b"").unwrap()
     assert any(span.handover for span in book.spans)
 
 
