Send a new ledger only to the nodes that it concerns

Cause: each write of a ledger was sent whole to all 42 or 46 nodes of the service, each on a connection of its own.

Change: the writer tells the nodes of the ranges that differ: holders and heirs, before and after. They wait for the keys or are about to lose them. All others learn of it from the store as before, and from the node that no longer holds a key; a write from an older ledger learns of it from its answer.

Tests, failing before: test_ledger_is_told_to_those_whom_it_concerns (assert 18 <= (2 * (3 - 1)) with ten nodes) and test_nodes_that_a_change_concerns. The histories of tests/process/keyspace hold.

--- a/src/ebonyvalve/process/keyspace/ledger.py
+++ b/src/ebonyvalve/process/keyspace/ledger.py
@@ -235,6 +235,25 @@
     }
 
 
+def find_concerned(before: Ledger, after: Ledger) -> set[identity.NodeId]:
+    """Return the nodes that hold, have held or shall get the ranges that differ.
+
+    :param before: the earlier ledger; without spans, if there was none.
+    :param after: the later one.
+    """
+    names: set[str] = set()
+    for span in after.spans:
+        old = find(before, span.first) if before.spans else None
+        if old is None or _read_parties(old) != _read_parties(span):
+            names |= {span.node, span.heir_node}
+            names |= {old.node, old.heir_node} if old is not None else set()
+    return {identity.NodeId(name) for name in names if name}
+
+
+def _read_parties(span: Span) -> tuple[int, str, str]:
+    return span.fence, span.holder, span.heir
+
+
 def order_move(ledger: Ledger, first: int, last: int, heir: Candidate) -> Ledger:
     """Plan the move of a range to another target; spans are cut at its ends.
 
--- a/src/ebonyvalve/process/keyspace/records.py
+++ b/src/ebonyvalve/process/keyspace/records.py
@@ -67,8 +67,8 @@
     rated_at: float = float("-inf")
     # When targets last got keys from others, in seconds on the node's clock.
     received_at: dict[identity.Lifetime, float] = dataclasses.field(default_factory=dict)
-    # Whether a ledger was written that the service's other nodes have not been told of.
-    has_news: bool = False
+    # The nodes that a ledger written here concerns and that have not been told of it.
+    untold: set[identity.NodeId] = dataclasses.field(default_factory=set)
     # Whether the lease of a node may have been removed since the leases were read.
     has_doubtful_leases: bool = False
 
@@ -233,9 +233,11 @@
 
 
 async def push_ledger(steward: Steward) -> None:
-    """Tell the service's other nodes of a new ledger, until cancelled.
+    """Tell the nodes that a new ledger concerns of it, until cancelled.
 
-    Heirs wait for its keys, and a write that is based on an older ledger fails.
+    Heirs wait for its keys. The others learn of it from the store a little later, and from the
+    answers of nodes that no longer hold a key; telling all of them would cost a write of the
+    ledger as many messages as there are nodes, over the link of one.
 
     :param steward: the state.
     """
@@ -243,13 +245,12 @@
     while True:
         changed = node.changed
         book = node.books.get(node.place.service)
-        if not steward.has_news or book is None:
+        if not steward.untold or book is None:
             await changed.wait()
             continue
-        steward.has_news = False
-        # One that is not told learns of it from the store a little later.
+        names, steward.untold = steward.untold - {node.place.node}, set()
         path = f"{LEDGER_PATH}{node.place.service}/{book.version}"
-        await push.send(node, steward.connect, path, ledger.encode(book.ledger))
+        await push.send(node, steward.connect, names, path, ledger.encode(book.ledger))
 
 
 def take_push(steward: Steward, path: str, body: bytes) -> bool:
--- a/src/ebonyvalve/process/keyspace/steward.py
+++ b/src/ebonyvalve/process/keyspace/steward.py
@@ -117,7 +117,7 @@
     if isinstance(done, table.Committed):
         node.books[node.place.service] = node_module.Book(ledger=proposed, version=done.version)
         records.note_receivers(steward, based, proposed)
-        steward.has_news = True
+        steward.untold |= ledger.find_concerned(based, proposed)
         for one in ended:
             node.leases.pop(identity.NodeId(one.key), None)
         node_module.pulse(node)
--- a/src/ebonyvalve/process/push.py
+++ b/src/ebonyvalve/process/push.py
@@ -1,5 +1,6 @@
-"""Tells the other nodes of the own service what they should not wait for."""
+"""Tells other nodes what they should not wait for."""
 
+import collections.abc
 import logging
 
 from returns import result
@@ -13,18 +14,37 @@
 TIMEOUT_S = 0.5
 
 
-async def send(node: node_module.Node, connect: network.Connect, path: str, body: bytes) -> None:
-    """Send a message to all other nodes of the own service; one that is lost is not repeated.
+def list_colleagues(node: node_module.Node) -> set[identity.NodeId]:
+    """Return the other nodes of the own service.
+
+    :param node: the node.
+    """
+    return {
+        one.node
+        for one in node.members.values()
+        if one.service == node.place.service and one.node != node.place.node
+    }
+
+
+async def send(
+    node: node_module.Node,
+    connect: network.Connect,
+    names: collections.abc.Set[identity.NodeId],
+    path: str,
+    body: bytes,
+) -> None:
+    """Send a message to other nodes; one that is lost is not repeated.
 
     :param node: the node.
     :param connect: opens a connection.
+    :param names: the other nodes; those that are no members are left out.
     :param path: names the message.
     :param body: the message.
     """
     request = http.Request(method="POST", path=path, body=body)
     async with trio.open_nursery() as nursery:
-        for one in node.members.values():
-            if one.service == node.place.service and one.node != node.place.node:
+        for one in list(node.members.values()):
+            if one.node in names:
                 nursery.start_soon(_send_one, connect, one.address, request)
 
 
--- a/src/ebonyvalve/request/crash.py
+++ b/src/ebonyvalve/request/crash.py
@@ -134,7 +134,8 @@
     suspicion.note_crash(watch.suspected, suspects, now)
     decision.record(log, logging.WARNING, "target-crashed", suspects=len(suspects))
     # A node that is not told has one crash less to judge by.
-    await push.send(node, watch.connect, CRASH_PATH, msgspec.json.encode(suspects))
+    names = push.list_colleagues(node)
+    await push.send(node, watch.connect, names, CRASH_PATH, msgspec.json.encode(suspects))
 
 
 def take_push(watch: Watch, body: bytes) -> bool:
--- a/tests/process/keyspace/test_ledger.py
+++ b/tests/process/keyspace/test_ledger.py
@@ -127,3 +127,27 @@
     """The last good ledger stays; a broken row must not pass for an empty one."""
     with pytest.raises(msgspec.DecodeError):
         ledger.decode(b'{"spans":[[0,1]]}')
+
+
+def test_nodes_that_a_change_concerns() -> None:
+    """Those told too little wait for keys; telling all costs the square of the nodes."""
+    candidates = [
+        ledger.Candidate(
+            node=identity.NodeId(f"n{i}"), lifetime=identity.Lifetime(f"t{i}"), weight=1
+        )
+        for i in range(5)
+    ]
+    book = ledger.create(candidates)
+    own = ledger.list_held(book, identity.Lifetime("t0"))[0]
+    moving = ledger.order_move(book, own.first, own.first + 9, candidates[3])
+    assert ledger.find_concerned(book, moving) == {"n0", "n3"}
+    moved = ledger.pass_on(moving, {own.first: ""})
+    assert ledger.find_concerned(moving, moved) == {"n0", "n3"}
+    assert ledger.find_concerned(moving, ledger.cancel_moves(moving, lambda _: True)) == {
+        "n0",
+        "n3",
+    }
+    vacant = ledger.vacate(moved, lambda span: span.holder == "t1")
+    assert ledger.find_concerned(moved, vacant) == {"n1"}
+    assert ledger.find_concerned(book, book) == set()
+    assert len(ledger.find_concerned(ledger.Ledger(spans=()), book)) == 5
--- a/tests/process/keyspace/test_steward.py
+++ b/tests/process/keyspace/test_steward.py
@@ -57,6 +57,7 @@
     births: collections.abc.Iterator[int]
     # Whether nodes reach each other; else they learn from the store only.
     is_connected: bool = False
+    pushed_to: list[str] = dataclasses.field(default_factory=list)
     violations: list[str] = dataclasses.field(default_factory=list)
 
 
@@ -79,6 +80,7 @@
         raise OSError("unreachable")
 
     async def respond(request: http.Request) -> http.Reply:
+        world.pushed_to.append(address)
         is_taken = records.take_push(found[0], request.path, request.body)
         return http.Reply(status=204 if is_taken else 400, body=b"")
 
@@ -466,6 +468,33 @@
     assert world.violations == []
 
 
+async def test_ledger_is_told_to_those_whom_it_concerns(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Grown sites: each write was sent whole to 42 to 46 nodes over one narrow link.
+
+    A move concerns its holder and its heir.
+    """
+    world = await build_world(nursery, 9)
+    world.is_connected = True
+    before = count_ledgers(world)
+    newcomer = Machine(name=identity.NodeId("n20"), number=20)
+    world.machines.append(newcomer)
+    nursery.start_soon(run_node, world, newcomer)
+    start_target(world, newcomer)
+    await trio.sleep(6.0)
+    assert newcomer.target is not None and newcomer.target.holds
+    assert "n20:1" in world.pushed_to
+    assert len(world.pushed_to) <= 2 * (count_ledgers(world) - before)
+    assert all(
+        machine.keeper is not None
+        and machine.keeper.node.books[SERVICE].version
+        == world.state.rows[("mesh", "", f"book/{SERVICE}")].version
+        for machine in world.machines
+    )
+    assert world.violations == []
+
+
 # The design's bound on the time until the keys of a lost node are served again.
 RECOVERY_S = 1.0
 
