Use no connection again on which a write was cut short

An answer that comes before the end of the request's body ends the attempt, also while the last of a body in chunks is being written. h11 counts that as sent once it is encoded, so the connection was kept although the other end had got a part of it or none: it took the rest from the head of the next request, whose caller got its 400. The same on the way back to a caller.

Evidence: test_connection_of_a_half_written_body_is_not_used_again failed with "assert not True" for `pool.keep`. A connection now remembers a write that did not return, writes nothing after it and is closed.

--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -26,12 +26,14 @@
     """One connection.
 
     ``progress`` counts received bytes, so that a silent connection can be told from a slow one.
+    ``is_writing`` stays true when a write is cancelled, after which the peer may have a part of it.
     """
 
     stream: trio.abc.Stream
     http: h11.Connection
     progress: int = 0
     is_reused: bool = False
+    is_writing: bool = False
     # One task may read a body while another answers; both may have to write.
     sending: trio.Lock = dataclasses.field(default_factory=trio.Lock)
 
@@ -146,10 +148,14 @@
         else:
             wire.sending.acquire_nowait()
         try:
+            if wire.is_writing:
+                return result.Failure(WireFailure.CLOSED)
             parts = [wire.http.send(event) for event in events]
             data = b"".join(part for part in parts if part)
             if data:
+                wire.is_writing = True
                 await wire.stream.send_all(data)
+                wire.is_writing = False
         finally:
             wire.sending.release()
     except h11.LocalProtocolError:
@@ -197,7 +203,8 @@
 
     :param wire: a connection on which one exchange has ended.
     """
-    if wire.http.our_state is h11.DONE and wire.http.their_state is h11.DONE:
+    is_ended = wire.http.our_state is h11.DONE and wire.http.their_state is h11.DONE
+    if is_ended and not wire.is_writing:
         wire.http.start_next_cycle()
         wire.is_reused = True
         return True
--- a/tests/request/test_foreign.py
+++ b/tests/request/test_foreign.py
@@ -1,6 +1,9 @@
 """Answers that belong to an earlier request on the same connection."""
 
+import dataclasses
+
 import pytest
+from returns import result
 import trio
 import trio.testing
 
@@ -19,11 +22,7 @@
     return head.encode() + body
 
 
-async def ask(slot: pool.Slot, request_id: str, got: list[bytes]) -> dispatch.Attempt:
-    call = test_origin.build_call(is_repeatable=True)
-    call.request_id = request_id
-    call.headers = [(b"host", b"x"), (b"x-attempt-id", request_id.encode())]
-
+def build_caller(got: list[bytes]) -> exchange.Caller:
     async def reply(status: int, headers: exchange.Headers) -> bool:
         return True
 
@@ -34,9 +33,21 @@
     async def finish() -> bool:
         return True
 
-    caller = exchange.Caller(
+    return exchange.Caller(
         receive=None, reply=reply, write=write, finish=finish, wait_gone=None, find_gone=None  # type: ignore[arg-type]
     )
+
+
+async def receive_end() -> exchange.Chunk:
+    return result.Success(b"")
+
+
+async def ask(slot: pool.Slot, request_id: str, got: list[bytes]) -> dispatch.Attempt:
+    call = test_origin.build_call(is_repeatable=True)
+    call.request_id = request_id
+    call.headers = [(b"host", b"x"), (b"x-attempt-id", request_id.encode())]
+
+    caller = build_caller(got)
     ended = dispatch.Attempt()
 
     def relay(status: int, headers: exchange.Headers) -> exchange.Headers | None:
@@ -107,3 +118,47 @@
     await kept.caller.write(b"the answer")
     await kept.caller.finish()
     assert sent == [[(b"a", b"whole")], b"the answer"]
+
+
+async def test_connection_of_a_half_written_body_is_not_used_again(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """An early answer ends the request while the end of its body is being written.
+
+    What the other end has not got of it would be taken from the next request.
+    """
+    ours, theirs = trio.testing.memory_stream_pair()
+    sends = 0
+
+    async def block() -> None:
+        nonlocal sends
+        sends += 1
+        if sends == 2:
+            await theirs.send_all(build_answer("r1", b"early"))
+            await trio.sleep_forever()
+
+    ours.send_stream.send_all_hook = block
+
+    async def connect(_: str) -> trio.abc.Stream:
+        return ours
+
+    state = pool.Pool(connect=connect, now=trio.current_time)
+    slot = (await pool.acquire(state, ADDRESS, p99_s=None)).unwrap()
+    call = test_origin.build_call(is_repeatable=True)
+    call.headers = [(b"host", b"x")]
+    call.is_whole = False
+    call.length = None
+    got: list[bytes] = []
+    caller = dataclasses.replace(build_caller(got), receive=receive_end)
+    ended = dispatch.Attempt()
+    await dispatch.run(
+        slot,
+        call,
+        caller,
+        extra=[],
+        relay=lambda status, headers: headers,
+        attempt=ended,
+        now=trio.current_time,
+    )
+    assert ended.step is dispatch.Step.RELAYED
+    assert not pool.keep(state, slot)
