Believe an answer without a name only on a connection that has brought none

So a name is demanded wherever an earlier answer could stand in its place: an answer without one on a connection that has brought an answer before counts as "may have run", and its connection is closed. The stand-in names requests in its refusals, as PROTOCOL.md says.

--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -38,9 +38,6 @@
     SPOILED = "spoiled"
 
 
-REFUSALS = frozenset({Judgement.NOT_RUN, Judgement.MISPLACED})
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Dialect:
     """How the target is spoken to.
@@ -272,8 +269,7 @@
 
     def relay(status: int, headers: exchange.Headers) -> exchange.Headers | None:
         judged[0] = dialect.judge(status, headers)
-        is_proof = proof.is_proof(ended.attempt.naming, is_clean=ended.attempt.is_clean)
-        if judged[0] in REFUSALS and not is_proof:
+        if not proof.belongs(ended.attempt.naming, is_first=ended.attempt.is_first):
             judged[0] = Judgement.SPOILED
         if judged[0] is not Judgement.ANSWER:
             return None
--- a/src/ebonyvalve/request/dispatch.py
+++ b/src/ebonyvalve/request/dispatch.py
@@ -45,8 +45,8 @@
 
     ``is_sent`` says that bytes of the request may have reached the other end. ``is_body_open``
     says that the caller's body was read beyond the held prefix, so that it cannot be sent again.
-    ``naming`` says which request the answer names, ``is_clean`` that its connection has brought
-    neither a refusal nor an unasked answer before.
+    ``naming`` says which request the answer names, ``is_first`` that its connection has brought no
+    answer before.
     """
 
     step: Step = Step.LOST_BEFORE_REPLY
@@ -59,7 +59,7 @@
     body_bytes: int = 0
     head_at_s: float | None = None
     naming: proof.Naming = proof.Naming.NONE
-    is_clean: bool = True
+    is_first: bool = True
 
 
 # Returns the headers to send to the caller, or None to withhold the answer.
@@ -193,7 +193,7 @@
     attempt.head_at_s = now()
     attempt.status = head.status_code
     attempt.headers = list(head.headers)
-    attempt.is_clean = not (slot.refused or slot.is_spent)
+    attempt.is_first = not (conn.is_reused or slot.is_spent)
     if identify is not None:
         attempt.naming = identify(attempt.headers)
     headers = relay(head.status_code, attempt.headers)
--- a/src/ebonyvalve/request/proof.py
+++ b/src/ebonyvalve/request/proof.py
@@ -11,14 +11,14 @@
     NONE = "none"
 
 
-def is_proof(naming: Naming, *, is_clean: bool) -> bool:
-    """Return whether a refusal shows that the request which was sent last has not run.
+def belongs(naming: Naming, *, is_first: bool) -> bool:
+    """Return whether an answer can only be that to the request which was sent last.
 
-    The other end may write an earlier refusal once more. One that names its request is told apart,
-    because no request is sent twice on a connection that has brought a refusal of it. One that
-    names none can't be an earlier one where there was none.
+    The other end may write an earlier answer once more. One that names its request is told apart,
+    because no request is sent twice on a connection on which it was refused. One that names none
+    may be that to any earlier request on its connection.
 
     :param naming: which request it names.
-    :param is_clean: whether its connection has brought neither a refusal nor an unasked answer.
+    :param is_first: whether it is the first answer on its connection.
     """
-    return naming is Naming.OWN or (naming is Naming.NONE and is_clean)
+    return naming is Naming.OWN or (naming is Naming.NONE and is_first)
--- a/src/ebonyvalve/standin/target.py
+++ b/src/ebonyvalve/standin/target.py
@@ -86,10 +86,11 @@
 async def _run(target: Target, head: h11.Request, body: bytes) -> tuple[h11.Response, bytes]:
     headers = {name.decode(): value.decode() for name, value in head.headers}
     request_id = headers.get("x-attempt-id", "")
+    named = ("x-attempt-id", request_id)
     if headers.get("x-expect-instance") != target.name or not _holds(target, headers):
-        return _reply(MISDIRECTED, [("x-not-executed", "1")], b"")
+        return _reply(MISDIRECTED, [named, ("x-not-executed", "1")], b"")
     if target.running >= target.slots:
-        return _reply(FULL, [("x-not-executed", "1")], b"")
+        return _reply(FULL, [named, ("x-not-executed", "1")], b"")
     target.running += 1
     try:
         await trio.sleep(target.work_s)
@@ -98,7 +99,7 @@
     target.ran.append(request_id)
     target.callers.append(headers.get("x-caller-service", ""))
     content = body or f"{target.name} {head.target.decode()}".encode()
-    sealed = [("x-attempt-id", request_id), ("x-response-seal", "seal")]
+    sealed = [named, ("x-response-seal", "seal")]
     return _reply(SERVED, sealed, content)
 
 
--- a/tests/request/test_refusals.py
+++ b/tests/request/test_refusals.py
@@ -30,6 +30,8 @@
     when: str = "before-answer"
     full: set[str] = dataclasses.field(default_factory=set)
     answer_headers: str = ""
+    # Written before all answers but the first on a connection.
+    strange: bytes = b""
     ran: list[str] = dataclasses.field(default_factory=list)
     opened: int = 0
     nursery: trio.Nursery
@@ -48,6 +50,7 @@
 
     async def _serve(self, stream: trio.abc.Stream) -> None:
         repeated = b""
+        is_reused = False
         while True:
             protocol = h11.Connection(h11.SERVER)
             head, _ = await http.receive_message(stream, protocol)
@@ -66,6 +69,9 @@
             self.ran.append(name)
             if self.when == "before-answer" and repeated:
                 await stream.send_all(repeated)
+            if is_reused:
+                await stream.send_all(self.strange)
+            is_reused = True
             await trio.sleep(WORK_S)
             await stream.send_all(build_answer(name, self.answer_headers))
 
@@ -163,6 +169,23 @@
     assert second.verdict is outcome.Verdict.ANSWERED
 
 
+@pytest.mark.parametrize("status", [503, 429, 421, 400, 404, 500])
+async def test_answer_without_a_name_is_believed_only_on_a_new_connection(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock, status: int
+) -> None:
+    """Targets name the request, so that an answer without a name may be that to any earlier one."""
+    strange = build_refusal(status, None)
+    if status in (404, 500):
+        strange = strange.replace(b"X-Not-Executed: 1\r\n", b"")
+    target = Target(nursery=nursery, strange=strange)
+    entry = build_entry(target)
+    assert (await ask(entry, "r1")).verdict is outcome.Verdict.ANSWERED
+    assert (await ask(entry, "r2")).verdict is outcome.Verdict.UNKNOWN
+    assert target.ran == ["r1", "r2"]
+    assert (await ask(entry, "r3")).verdict is outcome.Verdict.ANSWERED
+    assert target.opened == 2
+
+
 async def test_earlier_refusal_sends_no_running_order_to_a_second_target(
     nursery: trio.Nursery,
     autojump_clock: trio.testing.MockClock,
