Don't look for the lease of a lost machine for ever

Change: the lease of a member is looked for at most six times; then the reads of each renewal find it.

--- a/src/ebonyvalve/process/keyspace/records.py
+++ b/src/ebonyvalve/process/keyspace/records.py
@@ -72,6 +72,8 @@
     needs_members: bool = False
     # The nodes that a ledger written here concerns and that have not been told of it.
     untold: set[identity.NodeId] = dataclasses.field(default_factory=set)
+    # How often the leases of members that have none were looked for.
+    gathers: dict[identity.Lifetime, int] = dataclasses.field(default_factory=dict)
     # Whether the lease of a node may have been removed since the leases were read.
     has_doubtful_leases: bool = False
 
--- a/src/ebonyvalve/process/keyspace/tenure.py
+++ b/src/ebonyvalve/process/keyspace/tenure.py
@@ -14,6 +14,9 @@
 
 # Leases are read this often while there is reason to think that they have changed.
 GATHER_PAUSE_S = 0.5
+# A member without a lease is looked for this often: its row comes a moment after the member's. The
+# member of a lost machine stays, and its lease never comes.
+MOST_GATHERS = 6
 
 
 async def keep_lease(steward: records.Steward) -> None:
@@ -39,9 +42,7 @@
     renew_at = node.now() + lease.RENEW_S
     while node.now() + GATHER_PAUSE_S < renew_at:
         await _await_doubt(steward, GATHER_PAUSE_S)
-        joined = node_module.list_open_members(node, node.place.service)
-        is_new = any(one.node not in node.leases for one in joined)
-        if is_new or steward.has_doubtful_leases:
+        if _is_lease_awaited(steward) or steward.has_doubtful_leases:
             await read_leases(steward)
         if steward.has_doubtful_leases:
             # The store did not answer.
@@ -49,6 +50,18 @@
     await node_module.pause(steward.node, max(0.0, renew_at - node.now()))
 
 
+def _is_lease_awaited(steward: records.Steward) -> bool:
+    """Return whether a member has joined whose lease was not read yet."""
+    node = steward.node
+    joined = node_module.list_open_members(node, node.place.service)
+    steward.gathers = {
+        one.lifetime: steward.gathers.get(one.lifetime, 0) + 1
+        for one in joined
+        if one.node not in node.leases
+    }
+    return any(count <= MOST_GATHERS for count in steward.gathers.values())
+
+
 async def _await_doubt(steward: records.Steward, most_s: float) -> None:
     """Wait until the lease of another node may have been removed, but no longer than given."""
     with trio.move_on_after(most_s):
--- a/tests/process/keyspace/test_steward.py
+++ b/tests/process/keyspace/test_steward.py
@@ -328,6 +328,23 @@
     assert world.violations == []
 
 
+async def test_row_of_a_lost_machine_costs_no_calls(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Its announcement stays; all others read the leases twice a second for one that never came."""
+    world = await build_world(nursery, 6)
+    rest = world.state.asked["/rows-get", "lease"]
+    await trio.sleep(20.0)
+    rest = world.state.asked["/rows-get", "lease"] - rest
+    lose_machine(world.machines[5])
+    await trio.sleep(20.0)
+    await wait_whole(world, 1.0)
+    before = world.state.asked["/rows-get", "lease"]
+    await trio.sleep(20.0)
+    assert world.state.asked["/rows-get", "lease"] - before <= rest + 6
+    assert world.violations == []
+
+
 async def test_node_that_restarts_beside_a_living_target(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
