Read the other nodes' leases when they are needed, not with each renewal

Change: a lease that was read can't seem to have ended before the third renewal after it, so that a calm node reads them with every third renewal. A busy one reads them each time, because loads come with them. A load told with an answer is used as long as it is newer than the leases that were read.

A machine's loss is noticed as before: its lease ends when the row says so. Taking keys still requires the row's version, so that an older reading can cost a write and nothing else.

Test: test_calls_grow_no_faster_than_the_machines now wants less than 0.75 calls a second a node at rest; before it failed with "assert (144 / 20.0) < (0.75 * 8)".

--- a/src/ebonyvalve/process/keyspace/steward.py
+++ b/src/ebonyvalve/process/keyspace/steward.py
@@ -21,7 +21,7 @@
 RELIEF_PAUSE_S = 1.0
 # The rates of single keys are looked at this often at most.
 RATE_LOOK_S = 0.5
-# After this long without an answer, the load in the other node's lease row is newer.
+# After this long without an answer, the load in the other node's lease row may be newer.
 LOAD_AGE_S = 1.5
 # A target that is about to get keys is answered when they are free, but within the second after
 # which it gives an answer up.
@@ -207,7 +207,8 @@
         )
     view = node_module.read_view(node, one.node)
     told = node.leases.get(one.node)
-    if node.now() - view.reported_at < LOAD_AGE_S or told is None or not told.row.request_load:
+    is_newer = view.reported_at > min(node.now() - LOAD_AGE_S, steward.leases_read_at)
+    if is_newer or told is None or not told.row.request_load:
         return relief.Load(candidate=one, offered=view.offered, request_load=view.request_load)
     return relief.Load(candidate=one, offered=told.row.offered, request_load=told.row.request_load)
 
--- a/src/ebonyvalve/process/keyspace/tenure.py
+++ b/src/ebonyvalve/process/keyspace/tenure.py
@@ -7,13 +7,15 @@
 
 from ebonyvalve.process import decision, identity
 from ebonyvalve.process import node as node_module
-from ebonyvalve.process.keyspace import grant, lease, records
+from ebonyvalve.process.keyspace import grant, lease, records, relief
 from ebonyvalve.process.store import table
 
 log = logging.getLogger(__name__)
 
 # Leases are read this often while there is reason to think that they have changed.
 GATHER_PAUSE_S = 0.5
+# The oldest lease read is renewed RENEW_S before that, and must not seem to have ended.
+READ_S = 3 * lease.RENEW_S
 # A member without a lease is looked for this often: its row comes a moment after the member's. The
 # member of a lost machine stays, and its lease never comes.
 MOST_GATHERS = 6
@@ -30,12 +32,26 @@
             await node.changed.wait()
             continue
         if await _renew(steward):
-            await read_leases(steward)
+            if needs_leases(steward):
+                await read_leases(steward)
             await _sleep_until_renewal(steward)
         else:
             await node_module.pause(steward.node, records.RETRY_S)
 
 
+def needs_leases(steward: records.Steward) -> bool:
+    """Return whether the other nodes' leases are to be read with this renewal.
+
+    A lease that was read lasts until the third renewal after it at least, so that a calm node need
+    not know of each. One whose target is busy needs the loads that come with them.
+
+    :param steward: the state.
+    """
+    node = steward.node
+    is_due = node.now() >= steward.leases_read_at + READ_S - lease.RENEW_S / 2
+    return is_due or node_module.measure(node).offered >= relief.BUSY
+
+
 async def _sleep_until_renewal(steward: records.Steward) -> None:
     """Sleep for a renewal's period, reading leases sooner if members have come or gone."""
     node = steward.node
--- a/tests/process/keyspace/test_calls.py
+++ b/tests/process/keyspace/test_calls.py
@@ -123,7 +123,7 @@
     """
     few, many = measure_alone(8), measure_alone(24)
     for one, count in ((few[0], 8), (many[0], 24)):
-        assert one.calls.total() / one.seconds < 1.3 * count
+        assert one.calls.total() / one.seconds < 0.75 * count
         assert one.pushes == 0 and one.writes == 0
     for (rest, busy), count in ((few, 8), (many, 24)):
         added = busy.calls.total() / busy.seconds - rest.calls.total() / rest.seconds
