Keep to ownership beside lease rows that can't be read

Callers saw a node end at its next renewal when another writer had left an odd row in place of its lease: _recover_lease decoded it without a guard. An odd row of another node was passed over, so that its keys were taken by nobody: each write required that there was no row. The other way round, a node whose lease had been ended and whose read of the ledger then failed wrote a new lease and granted by the ledger that it knew, although others might hold its keys since.

Leases are decoded in one place and bounded: none lasts longer than any that a node may have written. An odd row in place of the own lease counts as its loss and is written over. One of another node counts as renewed just before, because its node may have done so; its keys are taken later by a write that requires this very row. After a loss the node grants by no ledger older than the one that a read of the store shows since, least_ledger.

--- a/src/ebonyvalve/process/keyspace/lease.py
+++ b/src/ebonyvalve/process/keyspace/lease.py
@@ -6,8 +6,12 @@
 """
 
 import dataclasses
+import math
 
 import msgspec
+from returns import result
+
+from ebonyvalve.process import decoding
 
 # A node survives a store that is away for LEASE_S - RENEW_S seconds. Outages of 9 s are usual.
 LEASE_S = 12.0
@@ -26,10 +30,10 @@
     nodes that had no answer from it lately.
     """
 
-    until_s: float
+    until_s: decoding.Seconds
     incarnation: str
-    offered: float = 0.0
-    request_load: float = 0.0
+    offered: decoding.Load = 0.0
+    request_load: decoding.Load = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -41,6 +45,14 @@
     read_s: float
 
 
+def decode(value: bytes) -> result.Result[LeaseRow, str]:
+    """Return the lease of a row, or what is wrong with it.
+
+    :param value: the row's bytes.
+    """
+    return decoding.decode(value, LeaseRow)
+
+
 def read_latest(clock: StoreClock, now: float) -> float:
     """Return the latest time that the store's clock may show.
 
@@ -90,6 +102,18 @@
     return until_s if row is None else max(until_s, row.until_s)
 
 
+def find_latest_end(clock: StoreClock | None, now: float) -> float:
+    """Return the store time by which all leases that have been written so far have ended.
+
+    A node may count from a reading of the store's clock that is off by as long as a follow lasts,
+    which is less than a lease.
+
+    :param clock: a reading of the store's clock.
+    :param now: seconds on the node's clock.
+    """
+    return math.inf if clock is None else read_latest(clock, now) + 2 * LEASE_S
+
+
 def find_hold(row: LeaseRow | None, clock: StoreClock | None, now: float, most_s: float) -> float:
     """Return for how many seconds of its own clock a target may hold its keys; 0 for not at all.
 
--- a/src/ebonyvalve/process/keyspace/records.py
+++ b/src/ebonyvalve/process/keyspace/records.py
@@ -23,6 +23,8 @@
 SETTLE_S = 0.8
 # A store that refuses is asked again soon, since its outages end without notice.
 RETRY_S = 0.25
+# Above all versions of the store.
+NO_VERSION = decoding.MOST_COUNT + 1
 LEDGER_PATH = "/ebonyvalve/ledger/"
 
 
@@ -69,6 +71,9 @@
     received_at: dict[identity.Lifetime, float] = dataclasses.field(default_factory=dict)
     # Whether a ledger was written that the service's other nodes have not been told of.
     has_news: bool = False
+    # The node grants by no older ledger. Its own lease was ended before this version was read, so
+    # that others may have got its target's keys.
+    least_ledger: int = 0
     # Whether the lease of a node may have been removed since the leases were read.
     has_doubtful_leases: bool = False
 
--- a/src/ebonyvalve/process/keyspace/steward.py
+++ b/src/ebonyvalve/process/keyspace/steward.py
@@ -37,6 +37,8 @@
     if not node_module.is_keyed(node):
         return None
     book = node.books.get(node.place.service)
+    if book is not None and book.version < steward.least_ledger:
+        book = None
     given = grant.answer(
         node.grantor,
         None if book is None else book.ledger,
--- a/src/ebonyvalve/process/keyspace/tenure.py
+++ b/src/ebonyvalve/process/keyspace/tenure.py
@@ -3,9 +3,10 @@
 import logging
 
 import msgspec
+from returns import result
 import trio
 
-from ebonyvalve.process import decision, identity
+from ebonyvalve.process import decision, decoding, identity
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant, lease, records
 from ebonyvalve.process.store import table
@@ -62,6 +63,8 @@
         await read_leases(steward)
         if node.clock is None:
             return False
+    if steward.least_ledger == records.NO_VERSION and not await _confirm_ledger(steward):
+        return False
     name = records.name_lease(node.place.node)
     until_s = lease.renew(steward.lease_row, node.clock, node.now())
     measured = node_module.measure(node)
@@ -92,13 +95,16 @@
     found = rows.get(name)
     if found is None:
         # Another node has ended the lease and may have given the keys away.
-        steward.lease_row, steward.lease_version = None, table.MISSING
-        decision.record(log, logging.WARNING, "lease-lost", reason="removed by another node")
-        await records.read_again(steward)
+        await _lose_lease(steward, table.MISSING, "removed by another node")
         return
     if found.version == steward.lease_version:
         return
-    decoded = msgspec.json.decode(found.value, type=lease.LeaseRow)
+    read_lease = _read_lease(steward, found, read.clock)
+    if not isinstance(read_lease, result.Success):
+        # The lease may have been ended before another writer left this in its place.
+        await _lose_lease(steward, found.version, read_lease.failure())
+        return
+    decoded = read_lease.unwrap()
     if decoded.incarnation != steward.node.incarnation:
         # Left by the process before this one; its ledger may be older than what is read now.
         await records.read_again(steward)
@@ -107,6 +113,43 @@
     steward.lease_version = found.version
 
 
+async def _lose_lease(steward: records.Steward, version: int, reason: str) -> None:
+    """Grant nothing until a lease has been written again and the ledger has been read since."""
+    steward.lease_row, steward.lease_version = None, version
+    steward.least_ledger = records.NO_VERSION
+    decision.record(log, logging.WARNING, "lease-lost", reason=reason)
+    await _confirm_ledger(steward)
+
+
+async def _confirm_ledger(steward: records.Steward) -> bool:
+    """Read the ledger after the loss of the lease; return whether the store has answered."""
+    read = await steward.store.read(records.MESH)
+    if not isinstance(read, table.Rows):
+        return False
+    records.take_rows(steward, read, is_whole=True)
+    place = records.name_book(steward.node.place.service)
+    versions = [row.version for row in read.rows if row.name == place]
+    # Without a row, only a ledger that is written from now on counts.
+    steward.least_ledger = versions[0] if versions else read.version + 1
+    return True
+
+
+def _read_lease(
+    steward: records.Steward, row: table.Row, clock: lease.StoreClock | None
+) -> result.Result[lease.LeaseRow, str]:
+    """Return the lease of a row, or why no node can have written it."""
+    node = steward.node
+    place = records.describe_place(row.name)
+    decoded = lease.decode(row.value)
+    if isinstance(decoded, result.Success):
+        if decoded.unwrap().until_s <= lease.find_latest_end(clock, node.now()):
+            decoding.note_readable(node.unreadable, place, row.version)
+            return decoded
+        decoded = result.Failure("the lease lasts longer than any that a node writes")
+    decoding.note_unreadable(node.unreadable, log, place, row.version, decoded.failure())
+    return decoded
+
+
 async def read_leases(steward: records.Steward) -> None:
     node = steward.node
     read = await steward.store.read(records.LEASES)
@@ -115,20 +158,32 @@
     records.take_clock(steward, read.clock)
     leases = {}
     for row in read.rows:
-        try:
-            decoded = msgspec.json.decode(row.value, type=lease.LeaseRow)
-        except msgspec.DecodeError as exc:
-            decision.record(log, logging.ERROR, "row-unreadable", row=row.name, cause=str(exc))
-            continue
-        leases[identity.NodeId(row.name.key)] = node_module.OtherLease(
-            row=decoded, version=row.version
-        )
+        name = identity.NodeId(row.name.key)
+        known = node.leases.get(name)
+        is_known = known is not None and known.version == row.version
+        leases[name] = known if known and is_known else _take_lease(steward, row, read.clock)
+    places = {records.describe_place(row.name) for row in read.rows}
+    decoding.forget_missing(node.unreadable, records.LEASES, places)
     node.leases = leases
     steward.has_doubtful_leases = False
     steward.leases_read_at = node.now()
     node_module.pulse(node)
 
 
+def _take_lease(
+    steward: records.Steward, row: table.Row, clock: lease.StoreClock | None
+) -> node_module.OtherLease:
+    """Return the lease of a row; one that can't be read counts as renewed just before.
+
+    Its node may be alive, and then writes it anew. The keys of one that has ended are taken later
+    by a write that requires this very row.
+    """
+    until_s = lease.find_latest_end(clock, steward.node.now())
+    unknown = lease.LeaseRow(until_s=until_s, incarnation="")
+    held = _read_lease(steward, row, clock).value_or(unknown)
+    return node_module.OtherLease(row=held, version=row.version)
+
+
 def read_hold(steward: records.Steward) -> float:
     """Return for how many seconds the target may be granted its keys now; 0 for not at all.
 
