Keep the process running beside odd requests of callers and operators

Any client could end the daemon, and with it all requests under way: an X-Shard-Key of 5000 digits raised ValueError in int(), which takes at most 4300, and the exception of one connection's handler cancels the nursery of all tasks. HEAD and CONNECT at the ready or the control address did the same by h11.LocalProtocolError, as answers to them have no body, and so did a long key asked of /explain.

Numbers in heads and queries are read by decoding.read_count, which takes ASCII digits within bounds only; a key that can't be read is refused like a missing one. The small HTTP server refuses the two methods with 405. An attempt id beyond ASCII made the target's own answer look like another request's, so that its caller got 502; it is compared as the bytes that came. The stand-in of targets passes such an id on.

Failed before: tests/platform/test_odd_input.py, 5 of 30 cases in the daemon (callers_address-0 "ValueError: Exceeds the limit (4300 digits)", ready_address-18, -22 and reports_address-28 "LocalProtocolError", ready_address-19 "ValueError"), callers_address-6 in the stand-in, and test_any_bytes_of_an_attempt_id_come_back. Chunk sizes, content lengths, deadlines, TLS bytes and an Upgrade were ruled out by the same table.

--- a/src/ebonyvalve/platform/dialect.py
+++ b/src/ebonyvalve/platform/dialect.py
@@ -6,7 +6,7 @@
 
 from ebonyvalve.connection import wire
 from ebonyvalve.platform import announcement
-from ebonyvalve.process import identity
+from ebonyvalve.process import decoding, identity
 from ebonyvalve.request import delivery, exchange, front, origin, relay
 
 REQUEST_ID = b"x-attempt-id"
@@ -74,7 +74,7 @@
     found = wire.find_header(headers, REQUEST_ID)
     if found is None:
         return wire.find_header(headers, SEAL) is not None
-    return found != request_id.encode()
+    return found != request_id.encode("latin-1")
 
 
 def build_parse(
@@ -114,12 +114,11 @@
     call.headers = [
         pair for pair in call.headers if pair[0] not in OWN and not pair[0].startswith(relay.PREFIX)
     ]
-    is_slot = slot is not None and slot.isdigit() and int(slot) <= identity.LAST_SLOT
     return origin.Head(
         request_id=call.request_id,
         host=host.decode("latin-1").partition(":")[0].lower(),
         budget_s=_read_ms(budget),
-        slot=int(slot) if slot is not None and is_slot else None,
+        slot=None if slot is None else decoding.read_count(slot, most=identity.LAST_SLOT),
     )
 
 
--- a/src/ebonyvalve/platform/inquiry.py
+++ b/src/ebonyvalve/platform/inquiry.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ebonyvalve.process import http, identity, survey
+from ebonyvalve.process import decoding, http, identity, survey
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.observation import tally
 from ebonyvalve.request import explanation, origin
@@ -35,9 +35,8 @@
     """Answer for a request of which ``host``, ``path`` and perhaps ``key`` are given."""
     asked = dict(urllib.parse.parse_qsl(query))
     key = asked.get("key", "")
-    is_key_fine = not key or (key.isdecimal() and int(key) <= identity.LAST_SLOT)
-    if not asked.get("host") or not asked.get("path") or not is_key_fine:
+    slot = decoding.read_count(key, most=identity.LAST_SLOT)
+    if not asked.get("host") or not asked.get("path") or (key and slot is None):
         return http.Reply(status=400, body=b"{}")
-    slot = int(key) if key else None
     lines = explanation.explain(entry, asked["host"].lower(), asked["path"], slot)
     return http.Reply(status=200, body=msgspec.json.encode(lines))
--- a/src/ebonyvalve/process/http.py
+++ b/src/ebonyvalve/process/http.py
@@ -19,6 +19,8 @@
 READ_BYTES = 65_536
 MAX_BODY_BYTES = 16 * 1024 * 1024
 IDLE_TIMEOUT_S = 60.0
+# Answers to these have no body, or end HTTP on the connection.
+UNSERVED = (b"HEAD", b"CONNECT")
 
 
 class HttpFailure(enum.Enum):
@@ -84,6 +86,9 @@
         return False
     if not isinstance(head, h11.Request):
         return False
+    if head.method in UNSERVED:
+        await _send(stream, http, Reply(status=405), is_last=True)
+        return False
     request = Request(method=head.method.decode(), path=head.target.decode(), body=body)
     reply = await respond(request)
     if reply is None:
@@ -95,8 +100,12 @@
     return True
 
 
-async def _send(stream: trio.abc.Stream, http: h11.Connection, reply: Reply) -> None:
+async def _send(
+    stream: trio.abc.Stream, http: h11.Connection, reply: Reply, *, is_last: bool = False
+) -> None:
     headers = [("content-type", reply.content_type), ("content-length", str(len(reply.body)))]
+    if is_last:
+        headers.append(("connection", "close"))
     head = h11.Response(status_code=reply.status, headers=headers)
     await send_message(stream, http, head, reply.body)
 
--- a/src/ebonyvalve/standin/target.py
+++ b/src/ebonyvalve/standin/target.py
@@ -84,7 +84,7 @@
 
 
 async def _run(target: Target, head: h11.Request, body: bytes) -> tuple[h11.Response, bytes]:
-    headers = {name.decode(): value.decode() for name, value in head.headers}
+    headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
     request_id = headers.get("x-attempt-id", "")
     if headers.get("x-expect-instance") != target.name or not _holds(target, headers):
         return _reply(MISDIRECTED, [("x-not-executed", "1")], b"")
@@ -113,7 +113,8 @@
 def _reply(
     status: int, headers: collections.abc.Sequence[tuple[str, str]], body: bytes
 ) -> tuple[h11.Response, bytes]:
-    head = [*headers, ("content-length", str(len(body)))]
+    named = [*headers, ("content-length", str(len(body)))]
+    head = [(name.encode(), value.encode("latin-1")) for name, value in named]
     return h11.Response(status_code=status, headers=head), body
 
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -44,3 +44,10 @@
     assert headers[dialect.EXPECT_TARGET] == b"i-1"
     assert headers[dialect.CALLER] == b"lookup"
     assert dict(dialect.dress(call, lifetime, 0.0))[dialect.BUDGET_MS] == b"1"
+
+
+def test_any_bytes_of_an_attempt_id_come_back() -> None:
+    """An id beyond ASCII made the target's own answer look like another request's."""
+    assert not dialect.is_foreign(
+        [(dialect.REQUEST_ID, b"\xff\xe9")], b"\xff\xe9".decode("latin-1")
+    )
--- /dev/null
+++ b/tests/platform/test_odd_input.py
@@ -0,0 +1,90 @@
+"""Input that ended the process: an exception in a connection's handler takes all tasks with it."""
+
+import contextlib
+
+import msgspec
+import pytest
+import trio
+
+from ebonyvalve.process import network
+from tests.platform import mesh as mesh_module
+
+DIGITS = "9" * 5000
+DEEP = b"[" * 100_000 + b"]" * 100_000
+CHUNKED = b"POST /orders/a HTTP/1.1\r\nhost: shop.example\r\ntransfer-encoding: chunked\r\n\r\n"
+REPORT: dict[str, object] = {
+    "address": "10.0.0.9:8080",
+    "born": 5,
+    "info": {"backend": "orders", "slots": 6},
+    "status": {"state": "ready", "seq": 4},
+}
+
+
+def build_request(method: str, path: str, *headers: str, body: bytes = b"") -> bytes:
+    lines = [f"{method} {path} HTTP/1.1", "host: shop.example", f"content-length: {len(body)}"]
+    return "\r\n".join([*lines, *headers, "", ""]).encode("latin-1") + body
+
+
+CALLERS = [
+    build_request("GET", "/lookup/a", f"x-shard-key: {DIGITS}"),
+    build_request("GET", "/lookup/a", "x-shard-key: -1"),
+    build_request("GET", "/lookup/a", "x-shard-key: \xb2"),
+    build_request("GET", "/orders/a", "x-deadline-ms: nan"),
+    build_request("GET", "/orders/a", "x-deadline-ms: -inf"),
+    build_request("GET", "/orders/a", f"x-deadline-ms: {DIGITS}"),
+    build_request("GET", "/orders/a", "x-attempt-id: \xff\xfe"),
+    build_request("HEAD", "/orders/a"),
+    build_request("HEAD", "/nowhere/a"),
+    build_request("CONNECT", "/orders/a"),
+    build_request("GET", "/orders/a", "upgrade: websocket", "connection: upgrade"),
+    build_request("GET", "/orders/a", "expect: 100-continue"),
+    build_request("OPTIONS", "*"),
+    b"GET /orders/a HTTP/1.0\r\nhost: shop.example\r\n\r\n",
+    CHUNKED + b"ffffffffffffffffffff\r\n",
+    CHUNKED + b"zz\r\n",
+    b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03" * 20,
+    b"\r\n" * 50,
+]
+READY = [
+    build_request("HEAD", "/readyz"),
+    build_request("GET", f"/explain?host=shop.example&path=/lookup/a&key={DIGITS}"),
+    build_request("GET", "/explain?host=shop.example&path=/lookup/a&key=%C2%B2"),
+    build_request("GET", "/explain?" + "&".join(f"a{n}=1" for n in range(5000))),
+    build_request("CONNECT", "/readyz"),
+    build_request("POST", "/readyz", body=DEEP),
+    b"\xff" * 300,
+]
+CONTROL = [
+    build_request("PUT", "/instances/i-0", body=b'{"x":' + DEEP + b"}"),
+    build_request("PUT", "/instances/i-0", body=DEEP),
+    build_request("PUT", "/instances/", body=msgspec.json.encode(REPORT)),
+    build_request("HEAD", "/instances/i-0"),
+    build_request("DELETE", "/instances/%ff"),
+]
+CASES = [
+    (listener, raw)
+    for listener, many in [
+        ("callers_address", CALLERS),
+        ("ready_address", READY),
+        ("reports_address", CONTROL),
+    ]
+    for raw in many
+]
+
+
+@pytest.mark.parametrize(
+    ("listener", "raw"), CASES, ids=[f"{name}-{n}" for n, (name, _) in enumerate(CASES)]
+)
+async def test_odd_bytes_cost_their_own_connection_only(listener: str, raw: bytes) -> None:
+    """A handler that raised ended the daemon and broke off all requests under way."""
+    async with mesh_module.open_mesh(["orders"]) as mesh:
+        client = await mesh_module.open_client(mesh.outbound[0])
+        await mesh_module.wait_status(client, 200, "/orders/warm")
+        address = getattr(mesh.daemons[0].node.place, listener)
+        stream = await network.connect_tcp(address)
+        with trio.move_on_after(0.5):
+            with contextlib.suppress(trio.BrokenResourceError):
+                await stream.send_all(raw)
+                await stream.receive_some(65_536)
+        await trio.aclose_forcefully(stream)
+        assert (await mesh_module.ask(client, "GET", "/orders/x"))[0] == 200
