--- a/src/ebonyvalve/process/keyspace/records.py
+++ b/src/ebonyvalve/process/keyspace/records.py
@@ -24,6 +24,8 @@
 SETTLE_S = 0.8
 # A store that refuses is asked again soon, since its outages end without notice.
 RETRY_S = 0.25
+# Above all versions of the store.
+NO_VERSION = decoding.MOST_COUNT + 1
 LEDGER_PATH = "/ebonyvalve/ledger/"
 
 
@@ -74,6 +76,9 @@
     untold: set[identity.NodeId] = dataclasses.field(default_factory=set)
     # How often the leases of members that have none were looked for.
     gathers: dict[identity.Lifetime, int] = dataclasses.field(default_factory=dict)
+    # The node grants by no older ledger. Its own lease was ended before this version was read, so
+    # that others may have got its target's keys.
+    least_ledger: int = 0
     # Whether the lease of a node may have been removed since the leases were read.
     has_doubtful_leases: bool = False
 
