See a caller's close behind bytes that nobody has read yet

One cause: whether a connection had been closed was found by reading from it once. Bytes before the close (the rest of a body, the next request, a second answer of a target) hid it, and were taken into h11's buffer.

find_closed now asks the kernel for the close itself (POLLRDHUP), which shows it behind unread bytes, takes none of them and can't race with a task that reads. It no longer waits, so that no turn of the loop lies between the question and what follows. It holds for bodies that are still on their way, so that the question at a node that is behind is asked for them too. The pool's check of idle connections is the same function and gains the same.

--- a/src/ebonyvalve/connection/pool.py
+++ b/src/ebonyvalve/connection/pool.py
@@ -98,7 +98,7 @@
             # Held before anything is awaited, so that no other request takes it.
             slot.life.phase = liveness.Phase.HELD_BY_CALLER
             is_fresh = max_idle_s is None or idle_s <= max_idle_s
-            if is_fresh and not (slot.conn is not None and await wire.find_closed(slot.conn)):
+            if is_fresh and not (slot.conn is not None and wire.find_closed(slot.conn)):
                 slot.scope = trio.CancelScope()
                 return result.Success(slot)
             await discard(pool, address, slot)
--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import select
 
 import h11
 from returns import result
@@ -96,22 +97,23 @@
     return event if isinstance(event, h11.Data | h11.EndOfMessage) else None
 
 
-async def find_closed(wire: Wire) -> bool:
-    """Return whether the peer has closed an idle connection, without waiting.
+def find_closed(wire: Wire) -> bool:
+    """Return whether the peer has closed the connection, without waiting.
 
-    Bytes that the peer has sent meanwhile are kept for the next exchange.
+    The close is seen behind bytes that the peer has sent before it, and these are left unread: they
+    may be a body, the next request, or for another task that reads.
 
-    :param wire: a connection on which nothing is asked for.
+    :param wire: the connection.
     """
     stream = wire.stream
-    if not isinstance(stream, trio.SocketStream) or not stream.socket.is_readable():
+    if not isinstance(stream, trio.SocketStream):
         return False
-    try:
-        data = await stream.receive_some(READ_BYTES)
-    except (trio.BrokenResourceError, trio.ClosedResourceError):
+    descriptor = stream.socket.fileno()
+    if descriptor < 0:
         return True
-    wire.http.receive_data(bytes(data))
-    return not data
+    poll = select.poll()
+    poll.register(descriptor, select.POLLRDHUP)
+    return bool(poll.poll(0))
 
 
 async def send(wire: Wire, *events: h11.Event) -> SendResult:
--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -124,7 +124,7 @@
         if refusal is not None:
             return refusal
         # A node that wakes from a freeze finds requests that were given up long ago.
-        if not rules.is_repeatable and call.is_whole and await caller.find_gone():
+        if not rules.is_repeatable and call.is_whole and caller.find_gone():
             return Ended(result=outcome.doubt(outcome.Reason.CALLER_GONE))
         return await _attempt(delivery, call, caller, ended)
     finally:
--- a/src/ebonyvalve/request/exchange.py
+++ b/src/ebonyvalve/request/exchange.py
@@ -79,7 +79,7 @@
     write: collections.abc.Callable[[bytes], collections.abc.Awaitable[bool]]
     finish: collections.abc.Callable[[], collections.abc.Awaitable[bool]]
     wait_gone: collections.abc.Callable[[], collections.abc.Awaitable[None]]
-    find_gone: collections.abc.Callable[[], collections.abc.Awaitable[bool]]
+    find_gone: collections.abc.Callable[[], bool]
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -264,8 +264,8 @@
     async def wait_gone() -> None:
         await wire.wait_closed(conn)
 
-    async def find_gone() -> bool:
-        return await wire.find_closed(conn)
+    def find_gone() -> bool:
+        return wire.find_closed(conn)
 
     return exchange.Caller(
         receive=receive,
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -111,7 +111,7 @@
     :param head: what its head says.
     """
     started_at = origin.node.now()
-    if await _is_stale(origin.node, call, caller):
+    if _is_stale(origin.node, caller):
         _record(origin, call, STALE, started_at, [])
         return STALE
     refusal = resolve(origin, call, head)
@@ -137,12 +137,12 @@
     return result
 
 
-async def _is_stale(node: node_module.Node, call: exchange.Call, caller: exchange.Caller) -> bool:
+def _is_stale(node: node_module.Node, caller: exchange.Caller) -> bool:
     """Return whether a request was read so late that its caller has left.
 
     Its deadline counts from when it was read, because nothing says when it was sent.
     """
-    return pace.is_behind(node.behind) and call.is_whole and await caller.find_gone()
+    return pace.is_behind(node.behind) and caller.find_gone()
 
 
 async def _run_watched(
@@ -343,7 +343,7 @@
     """
     node = origin.node
     started_at = node.now()
-    if await _is_stale(node, call, caller):
+    if _is_stale(node, caller):
         _record(origin, call, STALE, started_at, [])
         return STALE
 
--- a/tests/connection/test_pool_closed.py
+++ b/tests/connection/test_pool_closed.py
@@ -67,3 +67,18 @@
     await trio.sleep(0.05)
     second = (await pool.acquire(state, address, p99_s=None)).unwrap()
     assert second.name == first.name
+
+
+async def test_connection_closed_behind_late_bytes_is_not_used_again(
+    nursery: trio.Nursery,
+) -> None:
+    """A second answer lay before the close, so that the next request was sent and lost."""
+    address, accepted = await open_server(nursery)
+    state = pool.Pool(connect=network.connect_tcp, now=trio.current_time)
+    first = await idle_connection(state, address)
+    await wait_accepted(accepted)
+    await accepted[0].send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+    await accepted[0].aclose()
+    await trio.sleep(0.05)
+    second = (await pool.acquire(state, address, p99_s=None)).unwrap()
+    assert second.name != first.name
