Don't take a caller that sends much for one that has left

What callers saw: a request ended without an answer when its caller had sent over 32 KB of its next ones. The watch for the caller's close read what came and gave up at that amount, which was told as a close, so that the request under way was cancelled.

Past the bound, wait_closed now waits for the close itself: an epoll of its own with EPOLLRDHUP, which trio waits for like any socket. Nothing more is read, so that the sender is held back by TCP. Where a body is still due it reads nothing at all, since that body belongs to the task that passes it on. The bounded read stays for connections that are closed after an error, as drain.

--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -161,18 +161,50 @@
 async def wait_closed(wire: Wire) -> None:
     """Return when the peer closes the connection; keep data that comes before that.
 
-    :param wire: a server's side whose request has been read in full.
+    A body that is still due is left to the task that passes it on.
+
+    :param wire: a server's side whose request's head has been read.
     """
-    while True:
+    if wire.http.their_state is h11.SEND_BODY or not await drain(wire):
+        await _wait_hung_up(wire)
+
+
+async def drain(wire: Wire) -> bool:
+    """Read until the peer closes the connection, or has sent much; return whether it has closed.
+
+    :param wire: a server's side on which no other task reads.
+    """
+    while len(wire.http.trailing_data[0]) <= MAX_HEAD_BYTES:
         try:
             data = await wire.stream.receive_some(READ_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return
+            return True
         if not data:
-            return
+            return True
         wire.http.receive_data(bytes(data))
-        if len(wire.http.trailing_data[0]) > MAX_HEAD_BYTES:
-            return
+    return False
+
+
+async def _wait_hung_up(wire: Wire) -> None:
+    """Return when the peer closes the connection, without reading.
+
+    Only sockets show that; other streams are waited for in vain.
+    """
+    stream = wire.stream
+    if not isinstance(stream, trio.SocketStream):
+        await trio.sleep_forever()
+        return
+    try:
+        poll = select.epoll()
+    except OSError:
+        # Out of descriptors: the request's deadline ends it.
+        await trio.sleep_forever()
+        return
+    # Trio waits for bytes to read, which may be there already. A poll can be waited for like a
+    # socket, and is readable when the close is there.
+    with poll:
+        poll.register(stream.socket.fileno(), select.EPOLLRDHUP)
+        await trio.lowlevel.wait_readable(poll.fileno())
 
 
 def recycle(wire: Wire) -> bool:
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -333,7 +333,7 @@
         head = h11.Response(status_code=refusal.status, headers=headers)
         await wire.send(conn, head, h11.Data(data=body), h11.EndOfMessage())
         with trio.move_on_after(LINGER_S):
-            await wire.wait_closed(conn)
+            await wire.drain(conn)
 
 
 def list_outcome(result_: outcome.Outcome) -> exchange.Headers:
--- a/src/ebonyvalve/standin/target.py
+++ b/src/ebonyvalve/standin/target.py
@@ -17,7 +17,10 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Target:
-    """A target with what it holds. ``ran`` lists the ids of requests that it has run."""
+    """A target with what it holds.
+
+    ``reached`` lists the ids of requests that came, ``ran`` of those that it has run.
+    """
 
     name: str
     service: str
@@ -34,6 +37,7 @@
     until: float = 0.0
     holds: list[tuple[int, int, int]] = dataclasses.field(default_factory=list)
     released: list[tuple[int, int, str]] = dataclasses.field(default_factory=list)
+    reached: list[str] = dataclasses.field(default_factory=list)
     ran: list[str] = dataclasses.field(default_factory=list)
     callers: list[str] = dataclasses.field(default_factory=list)
     dropped: int = 0
@@ -86,6 +90,7 @@
 async def _run(target: Target, head: h11.Request, body: bytes) -> tuple[h11.Response, bytes]:
     headers = {name.decode(): value.decode() for name, value in head.headers}
     request_id = headers.get("x-attempt-id", "")
+    target.reached.append(request_id)
     if headers.get("x-expect-instance") != target.name or not _holds(target, headers):
         return _reply(MISDIRECTED, [("x-not-executed", "1")], b"")
     if target.running >= target.slots:
--- a/tests/connection/test_wire_closed.py
+++ b/tests/connection/test_wire_closed.py
@@ -38,3 +38,37 @@
         assert not wire.find_closed(conn)
         await wire.send(conn, h11.Response(status_code=204, headers=[]), h11.EndOfMessage())
         assert wire.recycle(conn)
+
+
+async def test_many_pipelined_bytes_are_no_close() -> None:
+    """A request ended without an answer, because its caller had sent the next ones already."""
+    conn, peer = await open_pair()
+    async with trio.open_nursery() as nursery:
+        await peer.send_all(FIRST)
+        await wire.receive(conn)
+        await wire.receive(conn)
+        nursery.start_soon(peer.send_all, b"x" * 2 * wire.MAX_HEAD_BYTES)
+        with trio.move_on_after(0.2) as scope:
+            await wire.wait_closed(conn)
+        assert scope.cancelled_caught
+    await peer.aclose()
+    with trio.fail_after(1.0):
+        await wire.wait_closed(conn)
+
+
+async def test_close_is_seen_while_a_body_is_unread() -> None:
+    """Nobody noticed that the caller of a request with a long body had left."""
+    conn, peer = await open_pair()
+    await peer.send_all(LONG + b"x" * 10_000)
+    await wire.receive(conn)
+    with trio.move_on_after(0.1) as scope:
+        await wire.wait_closed(conn)
+    assert scope.cancelled_caught
+    assert isinstance((await wire.receive(conn)).unwrap(), h11.Data)
+    await peer.send_all(b"x" * 10_000)
+    await peer.aclose()
+    with trio.fail_after(1.0):
+        await wire.wait_closed(conn)
+    # The body is for the task that passes it on, as fast as the target takes it.
+    assert conn.http.trailing_data[0] == b""
+    assert isinstance((await wire.receive(conn)).unwrap(), h11.Data)
