Drop lookups with a long body when their callers leave

Tests that failed before: test_lookup_with_a_long_body_is_dropped_when_its_caller_leaves, at the node that took the request and through a second one ("(['r'], 0, 1) == (['r'], 1, 0)": nothing dropped, one still running), and test_queued_request_whose_caller_has_left_does_not_reach_its_target for a long lookup.

--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -151,7 +151,10 @@
     caller: exchange.Caller,
     work: collections.abc.Callable[[], collections.abc.Awaitable[delivery.Ended]],
 ) -> tuple[delivery.Ended, bool]:
-    """Run until the deadline or until the caller leaves; return the end and whether it has left."""
+    """Run until the deadline or until the caller leaves; return the end and whether it has left.
+
+    An order whose body is still to come isn't ended: its target may have part of it already.
+    """
     ended = delivery.Ended(result=outcome.doubt(outcome.Reason.DEADLINE))
     is_gone = False
     async with trio.open_nursery() as nursery:
@@ -165,7 +168,7 @@
             is_gone = True
             nursery.cancel_scope.cancel()
 
-        if call.is_whole:
+        if call.is_whole or (call.rules is not None and call.rules.is_repeatable):
             nursery.start_soon(watch)
         ended = await work()
         nursery.cancel_scope.cancel()
--- a/tests/platform/test_gone.py
+++ b/tests/platform/test_gone.py
@@ -1,10 +1,13 @@
 """Callers that leave before their requests have been sent on, or while targets work on them."""
 
+import pytest
 import trio
 
 from ebonyvalve.process import network
 from tests.platform import mesh as mesh_module
 
+LONG = b"x" * 6000
+
 
 def build_request(method: str, path: str, name: str, body: bytes = b"") -> bytes:
     lines = [
@@ -27,6 +30,56 @@
         one.reached.clear()
 
 
+@pytest.mark.parametrize("node", [0, 1])
+async def test_lookup_with_a_long_body_is_dropped_when_its_caller_leaves(node: int) -> None:
+    """Callers of requests longer than the held prefix left, and their targets went on working."""
+    async with mesh_module.open_mesh(["orders", "lookup"], work_s=0.4) as mesh:
+        await warm_up(mesh)
+        stream = await network.connect_tcp(mesh.outbound[node])
+        await stream.send_all(build_request("GET", "/lookup/x", "r", LONG))
+        await trio.sleep(0.2)
+        await stream.aclose()
+        await trio.sleep(0.1)
+        one = mesh.targets[1]
+        assert (one.reached, one.dropped, one.running) == (["r"], 1, 0)
+
+
+@pytest.mark.parametrize("node", [0, 1])
+async def test_order_with_a_long_body_goes_on_when_its_caller_leaves(node: int) -> None:
+    """Guards against an order that is half done because its caller is watched."""
+    async with mesh_module.open_mesh(["orders", "lookup"], work_s=0.4) as mesh:
+        await warm_up(mesh)
+        mesh.targets[0].ran.clear()
+        stream = await network.connect_tcp(mesh.outbound[node])
+        await stream.send_all(build_request("POST", "/orders/x", "r", LONG))
+        await trio.sleep(0.2)
+        await stream.aclose()
+        await trio.sleep(0.4)
+        assert mesh.targets[0].ran == ["r"]
+
+
+@pytest.mark.parametrize(("method", "body"), [("GET", b""), ("GET", LONG), ("POST", b"")])
+async def test_queued_request_whose_caller_has_left_does_not_reach_its_target(
+    method: str, body: bytes
+) -> None:
+    """A caller left while its request waited for room at the target beside its node."""
+    async with mesh_module.open_mesh(["orders", "lookup"], work_s=0.2) as mesh:
+        await warm_up(mesh)
+        path, node = ("/orders/x", 0) if method == "POST" else ("/lookup/x", 1)
+        one = mesh.targets[node]
+        busy = [await network.connect_tcp(mesh.outbound[node]) for _ in range(one.slots)]
+        for number, stream in enumerate(busy):
+            await stream.send_all(build_request(method, path, f"busy{number}"))
+        await trio.sleep(0.05)
+        queued = await network.connect_tcp(mesh.outbound[node])
+        await queued.send_all(build_request(method, path, "queued", body))
+        await trio.sleep(0.05)
+        assert len(mesh.daemons[node].node.gate.waiting) == 1
+        await queued.aclose()
+        await trio.sleep(0.4)
+        assert sorted(one.reached) == [f"busy{number}" for number in range(one.slots)]
+
+
 async def test_caller_that_has_sent_much_more_gets_its_answer() -> None:
     """A request ended without an answer, because its caller had sent the next ones already."""
     async with mesh_module.open_mesh(["orders", "lookup"], work_s=0.2) as mesh:
