Send nothing on for a caller that has left

The watch for the caller's close is a task that has its first turn after the request was sent, and a turn of its own after each wait: a node that was short of processor time, or woke from a freeze, sent what it found together with its end, to the next node or to a target. Only orders were asked about, once, at their target.

Now attempt.run asks once, after it has a connection and with nothing awaited before the first byte. All sends pass there: the hop, the target, each repeat, and what waited in the gate's queue or for a connection. The request ends as "not run", is not tried elsewhere, and its connection is kept. Orders that have begun go on as before.

--- a/src/ebonyvalve/connection/pool.py
+++ b/src/ebonyvalve/connection/pool.py
@@ -158,6 +158,16 @@
     return True
 
 
+def give_back(pool: Pool, slot: Slot) -> None:
+    """Make a connection idle on which nothing was sent.
+
+    :param pool: the pool.
+    :param slot: from :func:`acquire`.
+    """
+    slot.life.phase = liveness.Phase.IDLE
+    _wake(pool)
+
+
 async def discard(pool: Pool, address: identity.Address, slot: Slot) -> None:
     """Close a connection at once.
 
--- a/src/ebonyvalve/request/attempt.py
+++ b/src/ebonyvalve/request/attempt.py
@@ -57,7 +57,7 @@
     now: collections.abc.Callable[[], float],
     ended: Result,
 ) -> None:
-    """Make one attempt within the request's deadline.
+    """Make one attempt within the request's deadline, unless the caller has left before it.
 
     The result is filled in as the attempt goes, so that it is known how far it came when it is
     cancelled.
@@ -91,6 +91,13 @@
             return
         slot = acquired.unwrap()
         slot.is_repeatable = call.rules is None or call.rules.is_repeatable
+        # The last moment: nothing is awaited before the first byte is sent. The watch may not have
+        # had its turn, after a freeze or a wait for room.
+        if caller.find_gone():
+            ended.attempt.step = dispatch.Step.CALLER_GONE
+            ended.is_ended = True
+            pool.give_back(way.pool, slot)
+            return
         try:
             with slot.scope:
                 await dispatch.run(
@@ -161,8 +168,7 @@
         answered = outcome.Outcome(verdict=outcome.Verdict.ANSWERED, status=attempt.status)
         return exchange.Ended(result=answered, is_told=True)
     if not attempt.is_sent:
-        reason = outcome.Reason.DEADLINE if ended.is_late else outcome.Reason.CONNECT_FAILED
-        return exchange.Ended(result=outcome.refuse(reason))
+        return exchange.Ended(result=outcome.refuse(_find_unsent_reason(ended)))
     return exchange.Ended(
         result=outcome.doubt(_find_reason(ended)),
         is_told=attempt.is_reply_begun,
@@ -170,6 +176,12 @@
     )
 
 
+def _find_unsent_reason(ended: Result) -> outcome.Reason:
+    if ended.attempt.step is dispatch.Step.CALLER_GONE:
+        return outcome.Reason.CALLER_GONE
+    return outcome.Reason.DEADLINE if ended.is_late else outcome.Reason.CONNECT_FAILED
+
+
 def _find_reason(ended: Result) -> outcome.Reason:
     if ended.is_late:
         return outcome.Reason.DEADLINE
--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -123,9 +123,6 @@
         refusal = await _find_refusal(delivery, call, rules, may_wait=False)
         if refusal is not None:
             return refusal
-        # A node that wakes from a freeze finds requests that were given up long ago.
-        if not rules.is_repeatable and call.is_whole and caller.find_gone():
-            return Ended(result=outcome.doubt(outcome.Reason.CALLER_GONE))
         return await _attempt(delivery, call, caller, ended)
     finally:
         head_at = ended.attempt.head_at_s
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -28,6 +28,9 @@
 WORTH_A_TURN = frozenset(
     {outcome.Reason.MOVED, outcome.Reason.STALE_FENCE, outcome.Reason.CONNECTION_LOST}
 )
+# All nodes of the service have been told of a request that crashes targets, and nobody waits for
+# one whose caller has left.
+NOWHERE_ELSE = frozenset({outcome.Reason.QUARANTINED, outcome.Reason.CALLER_GONE})
 # The target would refuse the next request as well.
 NO_ROOM = frozenset(
     {
@@ -129,7 +132,7 @@
     result = ended.result
     if is_gone:
         result = outcome.doubt(outcome.Reason.CALLER_GONE)
-    elif not told:
+    elif not told and result.reason is not outcome.Reason.CALLER_GONE:
         # Callers that were refused together must not come back together.
         spread = 1.0 + RETRY_SPREAD * (origin.node.draw() - 0.5)
         await refuse(caller, result, ended.retry_after_s * spread)
@@ -197,8 +200,7 @@
         verdict = ended.result.verdict
         if verdict is outcome.Verdict.ANSWERED or ended.is_told or not call.is_whole:
             return ended
-        if ended.result.reason is outcome.Reason.QUARANTINED:
-            # All nodes of the service have been told of it.
+        if ended.result.reason in NOWHERE_ELSE:
             break
         if verdict is outcome.Verdict.UNKNOWN:
             offered += 1
@@ -328,7 +330,8 @@
     if refused:
         return refused[0]
     concluded = attempt.conclude(ended)
-    if concluded.result.verdict is not outcome.Verdict.ANSWERED and not ended.is_late:
+    is_blameless = ended.is_late or concluded.result.reason is outcome.Reason.CALLER_GONE
+    if concluded.result.verdict is not outcome.Verdict.ANSWERED and not is_blameless:
         choice.note_failure(view, node.now())
     return delivery.Ended(
         result=concluded.result, is_told=concluded.is_told, retry_after_s=RETRY_AFTER_S
@@ -362,6 +365,7 @@
     ended, is_gone = await _run_watched(
         node, call, caller, functools.partial(delivery.run, origin.delivery, call, passing)
     )
+    is_gone = is_gone or ended.result.reason is outcome.Reason.CALLER_GONE
     if not is_gone and not ended.is_told and ended.result.verdict is not outcome.Verdict.ANSWERED:
         return await _refuse_hop(origin, call, caller, ended, started_at)
     _record(origin, call, ended.result, started_at, [node.place.node])
--- a/tests/platform/test_gone.py
+++ b/tests/platform/test_gone.py
@@ -1,5 +1,7 @@
 """Callers that leave before their requests have been sent on, or while targets work on them."""
 
+import socket
+
 import pytest
 import trio
 
@@ -30,6 +32,27 @@
         one.reached.clear()
 
 
+@pytest.mark.parametrize("node", [0, 1])
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize("body", [b"", LONG])
+async def test_request_read_after_its_caller_has_left_is_not_sent_on(
+    node: int, method: str, body: bytes
+) -> None:
+    """A node that was short of time found requests together with the ends of their callers.
+
+    The watch for callers that leave had its first turn after the request had been sent.
+    """
+    async with mesh_module.open_mesh(["orders", "lookup"]) as mesh:
+        await warm_up(mesh)
+        path = "/orders/x" if method == "POST" else "/lookup/x"
+        for number in range(20):
+            # Without a turn of the loop, so that the node finds the request and its end together.
+            with socket.create_connection(network.split_address(mesh.outbound[node])) as sock:
+                sock.sendall(build_request(method, path, f"r{number}", body))
+        await trio.sleep(0.3)
+        assert [one.reached for one in mesh.targets] == [[], []]
+
+
 @pytest.mark.parametrize("node", [0, 1])
 async def test_lookup_with_a_long_body_is_dropped_when_its_caller_leaves(node: int) -> None:
     """Callers of requests longer than the held prefix left, and their targets went on working."""
@@ -58,7 +81,8 @@
         assert mesh.targets[0].ran == ["r"]
 
 
-@pytest.mark.parametrize(("method", "body"), [("GET", b""), ("GET", LONG), ("POST", b"")])
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize("body", [b"", LONG])
 async def test_queued_request_whose_caller_has_left_does_not_reach_its_target(
     method: str, body: bytes
 ) -> None:
--- a/tests/request/test_attempt.py
+++ b/tests/request/test_attempt.py
@@ -1,6 +1,7 @@
 """What is logged of attempts that bring no whole answer."""
 
 import collections.abc
+import dataclasses
 import logging
 
 import pytest
@@ -9,7 +10,7 @@
 
 from ebonyvalve.connection import pool
 from ebonyvalve.process import identity
-from ebonyvalve.request import attempt, exchange
+from ebonyvalve.request import attempt, exchange, outcome
 from tests.request import test_origin
 
 ADDRESS = identity.Address("10.0.0.2:1")
@@ -48,7 +49,7 @@
     state = pool.Pool(connect=connect, now=trio.current_time)
     call = test_origin.build_call(is_repeatable=True)
     caller = exchange.Caller(
-        receive=None, reply=take, write=take, finish=take, wait_gone=None, find_gone=None  # type: ignore[arg-type]
+        receive=None, reply=take, write=take, finish=take, wait_gone=None, find_gone=lambda: False  # type: ignore[arg-type]
     )
     way = attempt.Way(pool=state, address=ADDRESS, extra=[], relay=lambda status, headers: headers)
     call.headers = [(b"host", b"x")]
@@ -65,3 +66,36 @@
     assert fields["ended_by"] == ended_by
     assert fields["body_bytes"] == len(b"begin")
     assert fields["since_head_ms"] is not None
+
+
+async def test_nothing_is_sent_for_a_caller_that_left_while_the_connection_was_opened(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Requests were sent on after their callers had left, and targets began to work on them.
+
+    The connection is kept, since new ones are priced and nothing was sent on it.
+    """
+    ours, theirs = trio.testing.memory_stream_pair()
+    opened: list[str] = []
+
+    async def connect(address: str) -> trio.abc.Stream:
+        opened.append(address)
+        await trio.sleep(0.1)
+        return ours
+
+    state = pool.Pool(connect=connect, now=trio.current_time)
+    left_at = trio.current_time() + 0.05
+    caller = dataclasses.replace(
+        test_origin.NO_CALLER, find_gone=lambda: trio.current_time() >= left_at
+    )
+    way = attempt.Way(pool=state, address=ADDRESS, extra=[], relay=lambda status, headers: headers)
+    for _ in range(2):
+        ended = attempt.Result()
+        call = test_origin.build_call(is_repeatable=False)
+        call.headers = [(b"host", b"x")]
+        await attempt.run(way, call, caller, trio.current_time, ended)
+        assert attempt.conclude(ended).result == outcome.refuse(outcome.Reason.CALLER_GONE)
+    with trio.move_on_after(1.0) as scope:
+        await theirs.receive_some(1)
+    assert scope.cancelled_caught
+    assert opened == [ADDRESS]
--- a/tests/request/test_origin.py
+++ b/tests/request/test_origin.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import typing
 
 import pytest
 import trio
@@ -11,7 +12,7 @@
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant
 from ebonyvalve.process.load import gate, heat
-from ebonyvalve.request import crash, delivery, exchange, origin, outcome
+from ebonyvalve.request import attempt, crash, delivery, dispatch, exchange, origin, outcome
 from ebonyvalve.version import traffic
 from tests import places
 
@@ -118,6 +119,7 @@
 SHED = outcome.refuse(outcome.Reason.TARGET_SHED)
 FULL = outcome.refuse(outcome.Reason.QUEUE_FULL)
 LOST = outcome.doubt(outcome.Reason.CONNECTION_LOST)
+GONE = outcome.refuse(outcome.Reason.CALLER_GONE)
 ANSWERED = outcome.Outcome(verdict=outcome.Verdict.ANSWERED, status=200)
 
 
@@ -135,6 +137,9 @@
         ([LOST], 9.0, False, 1),
         ([LOST], 9.0, True, 2),
         ([LOST], 0.0, True, 1),
+        # Nobody waits for an answer.
+        ([GONE], 9.0, True, 1),
+        ([FULL, GONE], 9.0, False, 2),
     ],
 )
 async def test_how_many_targets_are_tried(
@@ -173,6 +178,24 @@
     assert repeats <= 10 + 0.1 * 100
 
 
+@pytest.mark.parametrize("is_sent", [False, True])
+async def test_node_is_not_blamed_for_a_caller_that_leaves(
+    monkeypatch: pytest.MonkeyPatch, is_sent: bool
+) -> None:
+    """Nodes with sound targets were passed by, because callers had left amid their answers."""
+    entry = build_origin(0.0)
+
+    async def leave(*args: typing.Any) -> None:
+        ended = args[-1]
+        ended.attempt.step, ended.attempt.is_sent = dispatch.Step.CALLER_GONE, is_sent
+
+    monkeypatch.setattr(attempt, "run", leave)
+    call = build_call(is_repeatable=True)
+    ended = await origin._try_one(entry, call, NO_CALLER, NAMES[0])
+    assert ended.result.reason is outcome.Reason.CALLER_GONE
+    assert node_module.read_view(entry.node, NAMES[0]).failures == 0
+
+
 async def test_refusal_after_a_lost_answer_is_no_refusal(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
