--- a/src/ebonyvalve/connection/pool.py
+++ b/src/ebonyvalve/connection/pool.py
@@ -188,6 +188,16 @@
         slot.is_spent = True
 
 
+def give_back(pool: Pool, slot: Slot) -> None:
+    """Make a connection idle on which nothing was sent.
+
+    :param pool: the pool.
+    :param slot: from :func:`acquire`.
+    """
+    slot.life.phase = liveness.Phase.IDLE
+    _wake(pool)
+
+
 async def discard(pool: Pool, address: identity.Address, slot: Slot) -> None:
     """Close a connection at once.
 
--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import select
 
 import h11
 from returns import result
@@ -98,22 +99,23 @@
     return event if isinstance(event, h11.Data | h11.EndOfMessage) else None
 
 
-async def find_closed(wire: Wire) -> bool:
-    """Return whether the caller has closed the connection, without waiting.
+def find_closed(wire: Wire) -> bool:
+    """Return whether the peer has closed the connection, without waiting.
 
-    Bytes that it has sent meanwhile are kept for the next exchange.
+    The close is seen behind bytes that the peer has sent before it, and these are left unread: they
+    may be a body, the next request, or for another task that reads.
 
-    :param wire: a server's side whose request has been read in full.
+    :param wire: the connection.
     """
     stream = wire.stream
-    if not isinstance(stream, trio.SocketStream) or not stream.socket.is_readable():
+    if not isinstance(stream, trio.SocketStream):
         return False
-    try:
-        data = await stream.receive_some(READ_BYTES)
-    except (trio.BrokenResourceError, trio.ClosedResourceError):
+    descriptor = stream.socket.fileno()
+    if descriptor < 0:
         return True
-    wire.http.receive_data(bytes(data))
-    return not data
+    poll = select.poll()
+    poll.register(descriptor, select.POLLRDHUP)
+    return bool(poll.poll(0))
 
 
 def is_quiet(wire: Wire) -> bool:
@@ -184,20 +186,50 @@
 async def wait_closed(wire: Wire) -> None:
     """Return when the peer closes the connection; keep data that comes before that.
 
-    The close of a peer that sends a lot before it is not noticed, as reading stops then.
+    A body that is still due is left to the task that passes it on.
 
-    :param wire: a server's side whose request has been read in full.
+    :param wire: a server's side whose request's head has been read.
     """
-    while True:
+    if wire.http.their_state is h11.SEND_BODY or not await drain(wire):
+        await _wait_hung_up(wire)
+
+
+async def drain(wire: Wire) -> bool:
+    """Read until the peer closes the connection, or has sent much; return whether it has closed.
+
+    :param wire: a server's side on which no other task reads.
+    """
+    while len(wire.http.trailing_data[0]) <= MAX_HEAD_BYTES:
         try:
             data = await wire.stream.receive_some(READ_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return
+            return True
         if not data:
-            return
+            return True
         wire.http.receive_data(bytes(data))
-        if len(wire.http.trailing_data[0]) > MAX_HEAD_BYTES:
-            await trio.sleep_forever()
+    return False
+
+
+async def _wait_hung_up(wire: Wire) -> None:
+    """Return when the peer closes the connection, without reading.
+
+    Only sockets show that; other streams are waited for in vain.
+    """
+    stream = wire.stream
+    if not isinstance(stream, trio.SocketStream):
+        await trio.sleep_forever()
+        return
+    try:
+        poll = select.epoll()
+    except OSError:
+        # Out of descriptors: the request's deadline ends it.
+        await trio.sleep_forever()
+        return
+    # Trio waits for bytes to read, which may be there already. A poll can be waited for like a
+    # socket, and is readable when the close is there.
+    with poll:
+        poll.register(stream.socket.fileno(), select.EPOLLRDHUP)
+        await trio.lowlevel.wait_readable(poll.fileno())
 
 
 def recycle(wire: Wire) -> bool:
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -265,8 +265,8 @@
     async def wait_gone() -> None:
         await wire.wait_closed(conn)
 
-    async def find_gone() -> bool:
-        return await wire.find_closed(conn)
+    def find_gone() -> bool:
+        return wire.find_closed(conn)
 
     def is_begun() -> bool:
         return conn.http.our_state is not h11.SEND_RESPONSE
@@ -338,7 +338,7 @@
         head = h11.Response(status_code=refusal.status, headers=headers)
         await wire.send(conn, head, h11.Data(data=body), h11.EndOfMessage())
         with trio.move_on_after(LINGER_S):
-            await wire.wait_closed(conn)
+            await wire.drain(conn)
 
 
 def list_outcome(result_: outcome.Outcome) -> exchange.Headers:
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -28,6 +28,9 @@
 WORTH_A_TURN = frozenset(
     {outcome.Reason.MOVED, outcome.Reason.STALE_FENCE, outcome.Reason.CONNECTION_LOST}
 )
+# All nodes of the service have been told of a request that crashes targets, and nobody waits for
+# one whose caller has left.
+NOWHERE_ELSE = frozenset({outcome.Reason.QUARANTINED, outcome.Reason.CALLER_GONE})
 # The target would refuse the next request as well.
 NO_ROOM = frozenset(
     {
@@ -113,7 +116,7 @@
     :param head: what its head says.
     """
     started_at = origin.node.now()
-    if await _is_stale(origin.node, call, caller):
+    if _is_stale(origin.node, caller):
         _record(origin, call, STALE, started_at, [])
         return STALE
     refusal = resolve(origin, call, head)
@@ -131,7 +134,7 @@
     result = ended.result
     if is_gone:
         result = outcome.doubt(outcome.Reason.CALLER_GONE)
-    elif not told:
+    elif not told and result.reason is not outcome.Reason.CALLER_GONE:
         # Callers that were refused together must not come back together.
         spread = 1.0 + RETRY_SPREAD * (origin.node.draw() - 0.5)
         await refuse(caller, result, ended.retry_after_s * spread)
@@ -139,12 +142,12 @@
     return result
 
 
-async def _is_stale(node: node_module.Node, call: exchange.Call, caller: exchange.Caller) -> bool:
+def _is_stale(node: node_module.Node, caller: exchange.Caller) -> bool:
     """Return whether a request was read so late that its caller has left.
 
     Its deadline counts from when it was read, because nothing says when it was sent.
     """
-    return pace.is_behind(node.behind) and call.is_whole and await caller.find_gone()
+    return pace.is_behind(node.behind) and caller.find_gone()
 
 
 async def _run_watched(
@@ -153,7 +156,10 @@
     caller: exchange.Caller,
     work: collections.abc.Callable[[], collections.abc.Awaitable[delivery.Ended]],
 ) -> tuple[delivery.Ended, bool]:
-    """Run until the deadline or until the caller leaves; return the end and whether it has left."""
+    """Run until the deadline or until the caller leaves; return the end and whether it has left.
+
+    An order whose body is still to come isn't ended: its target may have part of it already.
+    """
     ended = delivery.Ended(result=outcome.doubt(outcome.Reason.DEADLINE))
     is_gone = False
     async with trio.open_nursery() as nursery:
@@ -167,7 +173,7 @@
             is_gone = True
             nursery.cancel_scope.cancel()
 
-        if call.is_whole:
+        if call.is_whole or (call.rules is not None and call.rules.is_repeatable):
             nursery.start_soon(watch)
         ended = await work()
         nursery.cancel_scope.cancel()
@@ -196,8 +202,7 @@
         verdict = ended.result.verdict
         if verdict is outcome.Verdict.ANSWERED or ended.is_told or not call.is_whole:
             return ended
-        if ended.result.reason is outcome.Reason.QUARANTINED:
-            # All nodes of the service have been told of it.
+        if ended.result.reason in NOWHERE_ELSE:
             break
         if verdict is outcome.Verdict.UNKNOWN:
             offered += 1
@@ -345,7 +350,7 @@
     """
     node = origin.node
     started_at = node.now()
-    if await _is_stale(node, call, caller):
+    if _is_stale(node, caller):
         _record(origin, call, STALE, started_at, [])
         return STALE
 
@@ -361,6 +366,7 @@
     ended, is_gone = await _run_watched(
         node, call, caller, functools.partial(delivery.run, origin.delivery, call, passing)
     )
+    is_gone = is_gone or ended.result.reason is outcome.Reason.CALLER_GONE
     if not is_gone and not caller.is_begun():
         return await _refuse_hop(origin, call, caller, ended, started_at)
     _record(origin, call, ended.result, started_at, [node.place.node])
--- a/tests/connection/test_pool_closed.py
+++ b/tests/connection/test_pool_closed.py
@@ -94,3 +94,18 @@
     liveness.note_idle(second.life, state.now())
     third = (await pool.acquire(state, address, p99_s=None, request_id="r1")).unwrap()
     assert third.name != first.name
+
+
+async def test_connection_closed_behind_late_bytes_is_not_used_again(
+    nursery: trio.Nursery,
+) -> None:
+    """A second answer lay before the close, so that the next request was sent and lost."""
+    address, accepted = await open_server(nursery)
+    state = pool.Pool(connect=network.connect_tcp, now=trio.current_time)
+    first = await idle_connection(state, address)
+    await wait_accepted(accepted)
+    await accepted[0].send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+    await accepted[0].aclose()
+    await trio.sleep(0.05)
+    second = (await pool.acquire(state, address, p99_s=None)).unwrap()
+    assert second.name != first.name
--- /dev/null
+++ b/tests/connection/test_wire_closed.py
@@ -0,0 +1,74 @@
+"""Callers that close their connection while a request of theirs is under way."""
+
+import h11
+import pytest
+import trio
+
+from ebonyvalve.connection import wire
+
+FIRST = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+LONG = b"POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n"
+
+
+async def open_pair() -> tuple[wire.Wire, trio.SocketStream]:
+    """Return the server's side of a connection on loopback, and its peer."""
+    ours, theirs = trio.socket.socketpair()
+    return wire.open_server(trio.SocketStream(ours)), trio.SocketStream(theirs)
+
+
+@pytest.mark.parametrize("data", [b"", LONG, FIRST + FIRST])
+async def test_close_is_seen_behind_unread_bytes(data: bytes) -> None:
+    """A request whose caller had left was sent on, because bytes lay before the close."""
+    conn, peer = await open_pair()
+    await peer.send_all(FIRST)
+    assert isinstance((await wire.receive(conn)).unwrap(), h11.Request)
+    await peer.send_all(data)
+    await peer.aclose()
+    assert wire.find_closed(conn)
+
+
+async def test_looking_for_a_close_takes_no_bytes_from_who_reads() -> None:
+    """Guards against a pipelined request that is lost or read by two tasks."""
+    conn, peer = await open_pair()
+    await peer.send_all(FIRST)
+    for _ in range(2):
+        assert isinstance((await wire.receive(conn)).unwrap(), h11.Request)
+        assert isinstance((await wire.receive(conn)).unwrap(), h11.EndOfMessage)
+        await peer.send_all(FIRST)
+        assert not wire.find_closed(conn)
+        await wire.send(conn, h11.Response(status_code=204, headers=[]), h11.EndOfMessage())
+        assert wire.recycle(conn)
+
+
+async def test_many_pipelined_bytes_are_no_close() -> None:
+    """A request ended without an answer, because its caller had sent the next ones already."""
+    conn, peer = await open_pair()
+    async with trio.open_nursery() as nursery:
+        await peer.send_all(FIRST)
+        await wire.receive(conn)
+        await wire.receive(conn)
+        nursery.start_soon(peer.send_all, b"x" * 2 * wire.MAX_HEAD_BYTES)
+        with trio.move_on_after(0.2) as scope:
+            await wire.wait_closed(conn)
+        assert scope.cancelled_caught
+    await peer.aclose()
+    with trio.fail_after(1.0):
+        await wire.wait_closed(conn)
+
+
+async def test_close_is_seen_while_a_body_is_unread() -> None:
+    """Nobody noticed that the caller of a request with a long body had left."""
+    conn, peer = await open_pair()
+    await peer.send_all(LONG + b"x" * 10_000)
+    await wire.receive(conn)
+    with trio.move_on_after(0.1) as scope:
+        await wire.wait_closed(conn)
+    assert scope.cancelled_caught
+    assert isinstance((await wire.receive(conn)).unwrap(), h11.Data)
+    await peer.send_all(b"x" * 10_000)
+    await peer.aclose()
+    with trio.fail_after(1.0):
+        await wire.wait_closed(conn)
+    # The body is for the task that passes it on, as fast as the target takes it.
+    assert conn.http.trailing_data[0] == b""
+    assert isinstance((await wire.receive(conn)).unwrap(), h11.Data)
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -4,7 +4,7 @@
 
 from ebonyvalve.platform import dialect
 from ebonyvalve.process import identity
-from ebonyvalve.request import delivery
+from ebonyvalve.request import delivery, proof
 from tests.request import test_origin
 
 SEALED = [(b"x-attempt-id", b"r1"), (b"x-response-seal", b"s")]
@@ -51,6 +51,5 @@
 
 def test_any_bytes_of_an_attempt_id_come_back() -> None:
     """An id beyond ASCII made the target's own answer look like another request's."""
-    assert not dialect.is_foreign(
-        [(dialect.REQUEST_ID, b"\xff\xe9")], b"\xff\xe9".decode("latin-1")
-    )
+    headers = [(dialect.REQUEST_ID, b"\xff\xe9")]
+    assert dialect.identify(headers, b"\xff\xe9".decode("latin-1")) is proof.Naming.OWN
--- a/tests/request/test_cut_answers.py
+++ b/tests/request/test_cut_answers.py
@@ -189,7 +189,9 @@
     entry = build_mesh(nursery, [script])
     call = test_origin.build_call(is_repeatable=True)
     call.headers = [(b"host", b"x")]
-    caller = dataclasses.replace(test_origin.NO_CALLER, reply=take, write=take, finish=take)
+    caller = dataclasses.replace(
+        test_origin.NO_CALLER, reply=take, write=take, finish=take, find_gone=lambda: False
+    )
     view = node_module.read_view(entry.node, test_origin.NAMES[0])
     await origin._hop(entry, call, caller, test_origin.NAMES[0], view)
     assert (view.avoid_until > trio.current_time()) is is_passed_by
--- a/tests/request/test_refusals.py
+++ b/tests/request/test_refusals.py
@@ -96,7 +96,7 @@
     async def finish() -> bool:
         return True
 
-    async def find_gone() -> bool:
+    def find_gone() -> bool:
         return False
 
     return dataclasses.replace(
