Let a stopping node take lookups to their end when another one misses a ping

At 30.515 s it reached its target, at 30.636 s its caller was told 502 while the target worked (LOST).

Cause: the node of the target had missed a ping, and what waited there was given up to be tried elsewhere. A stopping node has no time for that, and a planned stop cuts off nothing in flight.

Change: while a node stops, lookups that wait for a node that misses pings have the patience of orders (1.5 s).

Evidence: test_stopping_node_takes_lookups_to_their_end, red before ("assert not True").

--- a/src/ebonyvalve/connection/pool.py
+++ b/src/ebonyvalve/connection/pool.py
@@ -278,7 +278,7 @@
 
 
 def abandon(
-    pool: Pool, address: identity.Address, *, since: float, patient_since: float | None
+    pool: Pool, address: identity.Address, *, since: float | None, patient_since: float | None
 ) -> None:
     """End the requests that have waited for an address in vain.
 
@@ -287,9 +287,10 @@
 
     :param pool: the pool.
     :param address: the other end.
-    :param since: requests that were sent, or got bytes, after this are left alone.
+    :param since: requests that were sent, or got bytes, after this are left alone; ``None`` spares
+        all of them.
     :param patient_since: the same for those that may not be sent again, and those whose answer is
-        arriving; ``None`` spares all of them.
+        arriving.
     """
     for slot in pool.slots.get(address, {}).values():
         is_patient = slot.is_arriving or not slot.is_repeatable
--- a/src/ebonyvalve/request/reachability.py
+++ b/src/ebonyvalve/request/reachability.py
@@ -152,12 +152,10 @@
         return
     lost_for_s = note_lost(watch, name, f"no answer within {PING_TIMEOUT_S} s")
     now = watch.node.now()
-    pool.abandon(
-        watch.peers,
-        address,
-        since=min(sent_at, now - SUSPECT_S),
-        patient_since=now - PATIENCE_S if lost_for_s >= PATIENCE_S else None,
-    )
+    patient_since = now - PATIENCE_S if lost_for_s >= PATIENCE_S else None
+    # A node that stops takes what is in flight to its end: little time is left to try it elsewhere.
+    since = patient_since if watch.node.is_stopping else min(sent_at, now - SUSPECT_S)
+    pool.abandon(watch.peers, address, since=since, patient_since=patient_since)
 
 
 def note_lost(watch: Watch, name: identity.NodeId, reason: str) -> float:
--- a/tests/request/test_reachability.py
+++ b/tests/request/test_reachability.py
@@ -89,6 +89,23 @@
     assert slot.scope.cancel_called
 
 
+async def test_stopping_node_takes_lookups_to_their_end(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Issue 15, Darkroom grown: a lookup was given up 0.24 s after SIGTERM while its target worked.
+
+    Its node had missed a ping.
+    """
+    watch = build_watch(nursery, Peer(is_frozen=True))
+    watch.node.is_stopping = True
+    slot = await send(watch)
+    await watch_for(watch, 1.5)
+    assert NAME in watch.lost
+    assert not slot.scope.cancel_called
+    await watch_for(watch, 2.5)
+    assert slot.scope.cancel_called
+
+
 async def test_slow_answers_are_waited_for(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
