Let odd headers and messages between nodes cost their own request

A request or an answer with one odd header of the mesh ended the node that read it: bytes that are no UTF-8 (UnicodeDecodeError), a deadline of 400 digits (OverflowError), a version of 5000 (ValueError), a reason of a later release (ValueError), a load without all its fields. NaN, negative and infinite loads were taken and made every comparison with them meaningless, and a work time of 0 was divided by.

Each field is read by decoding within bounds. A hop that can't be read is refused as before; a load is passed over; a refusal whose verdict or reason can't be read promises nothing, because the request may have run.

What nodes write themselves is read as before (test_what_a_hop_tells_comes_back).

--- a/src/ebonyvalve/request/crash.py
+++ b/src/ebonyvalve/request/crash.py
@@ -9,7 +9,7 @@
 import trio
 
 from ebonyvalve.connection import pool
-from ebonyvalve.process import decision, identity, network, push
+from ebonyvalve.process import decision, decoding, identity, network, push
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.load import suspicion
 from ebonyvalve.request import exchange, quarantine
@@ -143,11 +143,11 @@
     :param watch: the state.
     :param body: the fingerprints.
     """
-    try:
-        suspects = msgspec.json.decode(body, type=list[str])
-    except msgspec.DecodeError as exc:
-        decision.record(log, logging.ERROR, "push-unreadable", path=CRASH_PATH, cause=str(exc))
+    decoded = decoding.decode(body, list[str])
+    if not isinstance(decoded, result.Success):
+        cause = decoded.failure()
+        decision.record(log, logging.ERROR, "push-unreadable", path=CRASH_PATH, cause=cause)
         return False
-    names = [identity.Fingerprint(name) for name in suspects]
+    names = [identity.Fingerprint(name) for name in decoded.unwrap()]
     suspicion.note_crash(watch.suspected, names, watch.node.now())
     return True
--- a/src/ebonyvalve/request/relay.py
+++ b/src/ebonyvalve/request/relay.py
@@ -3,7 +3,7 @@
 import logging
 
 from ebonyvalve.connection import wire
-from ebonyvalve.process import decision, identity
+from ebonyvalve.process import decision, decoding, identity
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.load import choice, pace
 from ebonyvalve.request import delivery, exchange, outcome
@@ -21,18 +21,31 @@
 OWNER_HEADER = b"ebonyvalve-owner"
 RETRY_AFTER_HEADER = b"retry-after"
 PREFIX = b"ebonyvalve-"
+MOST_RETRY_AFTER_S = 3600.0
+MOST_WORK_MS = 3_600_000
+RULES_FIELDS = 6
+LOAD_FIELDS = 5
+REASONS = {reason.value.encode(): reason for reason in outcome.Reason}
+VERDICTS = {verdict.value.encode(): verdict for verdict in outcome.Verdict}
 
 
 def read_refusal(value: bytes, headers: exchange.Headers) -> delivery.Ended:
-    verdict, _, reason = value.decode().partition(":")
+    """Return what another node says of a request that it did not answer.
+
+    What can't be read promises nothing: the request may have run.
+
+    :param value: of the header with the verdict and the reason.
+    :param headers: all headers of the answer.
+    """
+    verdict, _, reason = value.partition(b":")
+    why = REASONS.get(reason, outcome.Reason.CONNECTION_LOST)
+    is_not_run = VERDICTS.get(verdict) is outcome.Verdict.NOT_RUN and reason in REASONS
     retry_after = wire.find_header(headers, RETRY_AFTER_HEADER) or b"0"
-    owner = wire.find_header(headers, OWNER_HEADER)
-    why = outcome.Reason(reason)
-    is_not_run = verdict == outcome.Verdict.NOT_RUN.value
+    owner = decoding.read_name(wire.find_header(headers, OWNER_HEADER) or b"")
     return delivery.Ended(
         result=outcome.refuse(why) if is_not_run else outcome.doubt(why),
-        retry_after_s=float(retry_after),
-        owner=identity.NodeId(owner.decode()) if owner else None,
+        retry_after_s=decoding.read_number(retry_after, most=MOST_RETRY_AFTER_S) or 0.0,
+        owner=identity.NodeId(owner) if owner else None,
     )
 
 
@@ -73,37 +86,64 @@
     :param headers: its headers.
     :param now: seconds on the node's clock.
     """
-    found = {name: value.decode() for name, value in headers if name.startswith(PREFIX)}
-    try:
-        repeatable, attempts, priority, objective_ms, slot, kind = found[RULES_HEADER].split(",", 5)
-        call.service = identity.ServiceId(found[SERVICE_HEADER])
-        call.deadline_at_s = now + int(found[DEADLINE_HEADER]) / 1000
-        call.rules = exchange.Rules(
-            is_repeatable=repeatable == "1",
-            attempts=int(attempts),
-            priority=int(priority),
-            objective_s=int(objective_ms) / 1000,
-            origin=identity.ServiceId(found[ORIGIN_HEADER]),
-            slot=int(slot) if slot else None,
-            kind=kind,
-        )
-    except (KeyError, ValueError) as exc:
-        decision.record(log, logging.WARNING, "hop-unreadable", cause=repr(exc))
+    found = {name: value for name, value in headers if name.startswith(PREFIX)}
+    service = decoding.read_name(found.get(SERVICE_HEADER, b""))
+    entered_at = decoding.read_name(found.get(ORIGIN_HEADER, b""))
+    left_ms = decoding.read_count(found.get(DEADLINE_HEADER, b""))
+    rules = _read_rules(found.get(RULES_HEADER, b""), entered_at or "")
+    if service is None or entered_at is None or left_ms is None or rules is None:
+        decision.record(log, logging.WARNING, "hop-unreadable", cause=str(found)[:200])
         return False
+    call.service = identity.ServiceId(service)
+    call.deadline_at_s = now + left_ms / 1000
+    call.rules = rules
     return True
 
 
+def _read_rules(value: bytes, entered_at: str) -> exchange.Rules | None:
+    fields = value.split(b",", RULES_FIELDS - 1)
+    if len(fields) != RULES_FIELDS:
+        return None
+    repeatable, attempts, priority, objective_ms, key, kind = fields
+    numbers = [decoding.read_count(text) for text in (attempts, priority, objective_ms)]
+    slot = decoding.read_count(key, most=identity.LAST_SLOT)
+    if None in numbers or (key and slot is None):
+        return None
+    most_attempts, rank, goal_ms = (number or 0 for number in numbers)
+    return exchange.Rules(
+        is_repeatable=repeatable == b"1",
+        attempts=most_attempts,
+        priority=rank,
+        objective_s=goal_ms / 1000,
+        origin=identity.ServiceId(entered_at),
+        slot=slot,
+        kind=kind.decode("ascii", "backslashreplace"),
+    )
+
+
 def take_load(view: choice.View, headers: exchange.Headers, now: float) -> None:
-    value = wire.find_header(headers, LOAD_HEADER)
-    if value is None:
+    """Note the load that another node tells of its target; one that can't be read says nothing.
+
+    :param view: what is known of the target.
+    :param headers: of the other node's answer.
+    :param now: seconds on the node's clock.
+    """
+    fields = (wire.find_header(headers, LOAD_HEADER) or b"").split(b",")
+    if len(fields) != LOAD_FIELDS:
+        return
+    busy = decoding.read_count(fields[0], most=decoding.MOST_SLOTS)
+    slots = decoding.read_count(fields[1], most=decoding.MOST_SLOTS)
+    work_ms = decoding.read_count(fields[2], most=MOST_WORK_MS)
+    offered = decoding.read_number(fields[3], most=decoding.MOST_LOAD)
+    request_load = decoding.read_number(fields[4], most=decoding.MOST_LOAD)
+    if busy is None or not slots or not work_ms or offered is None or request_load is None:
         return
-    busy, slots, work_ms, offered, request_load = value.split(b",")
     report = choice.Report(
-        busy=int(busy),
-        slots=int(slots),
-        work_s=int(work_ms) / 1000,
-        offered=float(offered),
-        request_load=float(request_load),
+        busy=busy,
+        slots=slots,
+        work_s=work_ms / 1000,
+        offered=offered,
+        request_load=request_load,
     )
     choice.note_load(view, report, now)
 
@@ -122,9 +162,9 @@
     :param node: the node.
     :param headers: of a request or an answer of the other node.
     """
-    value = wire.find_header(headers, SEEN_HEADER)
-    if value is not None and value.isdigit():
-        node_module.note_named(node, int(value))
+    version = decoding.read_count(wire.find_header(headers, SEEN_HEADER) or b"")
+    if version is not None:
+        node_module.note_named(node, version)
 
 
 def list_load(node: node_module.Node) -> exchange.Headers:
--- a/tests/platform/test_odd_input.py
+++ b/tests/platform/test_odd_input.py
@@ -25,6 +25,21 @@
     return "\r\n".join([*lines, *headers, "", ""]).encode("latin-1") + body
 
 
+def build_hop(**changed: str) -> bytes:
+    """Return a request as another node sends it, with some headers changed."""
+    headers = {
+        "ebonyvalve-service": "orders",
+        "ebonyvalve-deadline-ms": "1000",
+        "ebonyvalve-origin": "lookup",
+        "ebonyvalve-rules": "1,2,1,300,,r",
+        "ebonyvalve-seen": "1",
+        **{f"ebonyvalve-{name}": value for name, value in changed.items()},
+    }
+    return build_request(
+        "GET", "/orders/a", *(f"{name}: {value}" for name, value in headers.items())
+    )
+
+
 CALLERS = [
     build_request("GET", "/lookup/a", f"x-shard-key: {DIGITS}"),
     build_request("GET", "/lookup/a", "x-shard-key: -1"),
@@ -45,6 +60,31 @@
     b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03" * 20,
     b"\r\n" * 50,
 ]
+PEERS = [
+    build_hop(service="\xff"),
+    build_hop(service="\xe9\xe9"),
+    build_hop(**{"deadline-ms": DIGITS}),
+    build_hop(**{"deadline-ms": "9" * 400}),
+    build_hop(**{"deadline-ms": "-1"}),
+    build_hop(**{"deadline-ms": "nan"}),
+    build_hop(rules="1,2,1,300,99999999,r"),
+    build_hop(rules="1,2,1,300,-5,r"),
+    build_hop(rules=f"1,2,1,{'9' * 400},,r"),
+    build_hop(rules=f"1,2,{'9' * 400},300,,r"),
+    build_hop(rules="1,2"),
+    build_hop(seen=DIGITS),
+    build_hop(seen="\xb2"),
+    build_hop(owner="\xff"),
+    build_hop(load="\xff"),
+    build_request("GET", "/ebonyvalve/ping/%ff%00"),
+    build_request("HEAD", "/ebonyvalve/ping/n0"),
+    build_request("POST", f"/ebonyvalve/ledger/lookup/{DIGITS}", body=b'{"spans":[]}'),
+    build_request("POST", "/ebonyvalve/ledger/lookup/99", body=b'{"x":' + DEEP + b"}"),
+    build_request("POST", "/ebonyvalve/ledger/lookup/99", body=b'{"spans":[]}'),
+    build_request("POST", "/ebonyvalve/ledger/lookup/x", body=b"\xff"),
+    build_request("POST", "/ebonyvalve/crash", body=DEEP),
+    build_request("POST", "/ebonyvalve/crash", body=b"[1e400]"),
+]
 READY = [
     build_request("HEAD", "/readyz"),
     build_request("GET", f"/explain?host=shop.example&path=/lookup/a&key={DIGITS}"),
@@ -65,6 +105,7 @@
     (listener, raw)
     for listener, many in [
         ("callers_address", CALLERS),
+        ("peers_address", PEERS),
         ("ready_address", READY),
         ("reports_address", CONTROL),
     ]
--- /dev/null
+++ b/tests/request/test_relay.py
@@ -0,0 +1,146 @@
+"""What other nodes write into headers, and what another writer may have written there."""
+
+import dataclasses
+import math
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+import trio.testing
+
+from ebonyvalve.process import identity
+from ebonyvalve.process.load import choice
+from ebonyvalve.request import crash, delivery, exchange, outcome, relay
+from tests.platform import test_odd_input
+from tests.request import test_origin
+
+DIGITS = b"9" * 400
+
+
+def build_call() -> exchange.Call:
+    return exchange.Call(
+        request_id="a",
+        service=identity.ServiceId(""),
+        key=identity.KeyId(""),
+        method="GET",
+        path="/",
+        headers=[],
+        length=0,
+        deadline_at_s=5.0,
+        is_hop=True,
+    )
+
+
+@pytest.mark.parametrize("slot", [None, 0, 65_535])
+def test_what_a_hop_tells_comes_back(slot: int | None) -> None:
+    """The bounds must not refuse what a node itself writes."""
+    call = build_call()
+    call.service = identity.ServiceId("lookup")
+    call.rules = exchange.Rules(
+        is_repeatable=True,
+        attempts=2,
+        priority=0,
+        objective_s=0.3,
+        origin=identity.ServiceId("órdenes"),
+        slot=slot,
+        kind="r, with a comma",
+    )
+    read = build_call()
+    assert relay.undress_hop(read, relay.dress_hop(call, 3.0), 3.0)
+    assert read.rules == call.rules
+    assert (read.service, read.deadline_at_s) == ("lookup", pytest.approx(5.0, abs=0.002))
+
+
+ODD_REFUSALS = [
+    (b"not-run:queue-full", b"nan", None),
+    (b"not-run:queue-full", b"-1", None),
+    (b"not-run:queue-full", DIGITS, None),
+    (b"not-run:queue-full", b"\xff", None),
+    (b"not-run:moved", b"1", b"\xff"),
+    (b"not-run:of-a-later-release", b"1", None),
+    (b"ran:queue-full", b"1", None),
+    (b"", b"1", None),
+    (b"\xff:\xff", b"1", None),
+]
+
+
+@pytest.mark.parametrize(("value", "retry_after", "owner"), ODD_REFUSALS)
+def test_odd_refusals_of_other_nodes(value: bytes, retry_after: bytes, owner: bytes | None) -> None:
+    """One odd header ended the node that read it; what can't be read promises nothing."""
+    headers = [(b"retry-after", retry_after)]
+    if owner is not None:
+        headers.append((relay.OWNER_HEADER, owner))
+    ended = relay.read_refusal(value, headers)
+    is_whole = value in (b"not-run:queue-full", b"not-run:moved")
+    assert ended.result.verdict is (
+        outcome.Verdict.NOT_RUN if is_whole else outcome.Verdict.UNKNOWN
+    )
+    assert math.isfinite(ended.retry_after_s) and ended.retry_after_s >= 0
+    assert ended.owner is None
+
+
+ODD_LOADS = [
+    b"",
+    b"1,2,3",
+    b"\xff,6,100,0.5,0.01",
+    b"1,6,100,nan,0.01",
+    b"1,6,100,0.5,inf",
+    b"1,6,100,-0.5,0.01",
+    b"1,6,100,1e400,0.01",
+    b"-1,6,100,0.5,0.01",
+    b"1,0,100,0.5,0.01",
+    b"1,6,0,0.5,0.01",
+    b"1,6," + DIGITS + b",0.5,0.01",
+    DIGITS + b",6,100,0.5,0.01",
+    b"1," + DIGITS + b",100,0.5,0.01",
+]
+
+
+@pytest.mark.parametrize("value", ODD_LOADS)
+def test_odd_loads_of_other_nodes(value: bytes) -> None:
+    """One odd load ended the node, or made every later comparison with it meaningless."""
+    view = choice.View(slots=4)
+    before = dataclasses.replace(view)
+    relay.take_load(view, [(relay.LOAD_HEADER, value)], 3.0)
+    assert view == before
+    assert math.isfinite(choice.estimate(view, 4.0, is_near=True))
+
+
+@hypothesis.given(strategies.binary(max_size=60), strategies.binary(max_size=20))
+def test_any_bytes_in_headers_raise_nothing(value: bytes, other: bytes) -> None:
+    """An exception in a handler ends all tasks of the process."""
+    view = choice.View(slots=4)
+    relay.take_load(view, [(relay.LOAD_HEADER, value)], 3.0)
+    assert isinstance(relay.read_refusal(value, [(b"retry-after", other)]), delivery.Ended)
+    names = (relay.RULES_HEADER, relay.SERVICE_HEADER, relay.ORIGIN_HEADER, relay.DEADLINE_HEADER)
+    for name in names:
+        headers = [*relay.dress_hop(fill_call(), 3.0), (name, value)]
+        relay.undress_hop(build_call(), headers, 3.0)
+
+
+def fill_call() -> exchange.Call:
+    call = build_call()
+    relay.undress_hop(
+        call,
+        [
+            (relay.SERVICE_HEADER, b"orders"),
+            (relay.DEADLINE_HEADER, b"100"),
+            (relay.ORIGIN_HEADER, b"lookup"),
+            (relay.RULES_HEADER, b"1,2,1,300,,r"),
+        ],
+        3.0,
+    )
+    return call
+
+
+ODD_CRASHES = [b"", b"\xff", b"[1e400]", b'{"x":1}', b'["a",3]', test_odd_input.DEEP]
+
+
+@pytest.mark.parametrize("body", ODD_CRASHES, ids=range(len(ODD_CRASHES)))
+async def test_odd_accusations_are_refused(
+    body: bytes, autojump_clock: trio.testing.MockClock
+) -> None:
+    """What can't be read accuses no request."""
+    watch = test_origin.build_origin(0.0).delivery.crashes
+    assert not crash.take_push(watch, body)
+    assert not watch.suspected.crashes
