Refuse status reports whose figures can't be used

One report nested 100,000 deep ended the node (RecursionError out of the handler of the control address).

The form of a report states its bounds, and decoding refuses the rest with 400 and the reason. Targets keep what they hold until their next report, as with any report that is lost.

--- a/src/ebonyvalve/platform/announcement.py
+++ b/src/ebonyvalve/platform/announcement.py
@@ -4,11 +4,20 @@
 import typing
 
 import msgspec
+from returns import result
 
-from ebonyvalve.process import identity, member
+from ebonyvalve.process import decoding, identity, member
 from ebonyvalve.process.keyspace import grant
 
 PATH = "/instances/"
+# A start after the year 5000 would hide every later lifetime.
+MOST_BORN_MS = 10**14
+MOST_COLD_S = 86_400.0
+Born = typing.Annotated[int, msgspec.Meta(ge=0, le=MOST_BORN_MS)]
+Cold = typing.Annotated[float, msgspec.Meta(ge=-MOST_COLD_S, le=MOST_COLD_S)]
+Slots = typing.Annotated[int, msgspec.Meta(ge=0, le=decoding.MOST_SLOTS)]
+# Goes into the service's ledger, whose row has a bounded size.
+Handover = typing.Annotated[str, msgspec.Meta(max_length=decoding.MOST_NAME_BYTES)]
 STATES = {"ready": member.TargetState.READY, "draining": member.TargetState.LEAVING}
 
 
@@ -16,7 +25,7 @@
     """What a target is. ``backend`` is its service."""
 
     backend: str
-    slots: int
+    slots: Slots
     zone: str = ""
 
 
@@ -24,8 +33,8 @@
     """How a target does. ``seq`` increases with each report of one lifetime."""
 
     state: str
-    seq: int
-    cold_left_s: float = 0.0
+    seq: decoding.Count
+    cold_left_s: Cold = 0.0
 
 
 class Document(msgspec.Struct, kw_only=True):
@@ -34,9 +43,9 @@
     address: str
     info: Info
     status: Status
-    born: int = 0
-    holds: list[tuple[int, int, int]] = []
-    released: list[tuple[int, int, str]] = []
+    born: Born = 0
+    holds: list[tuple[decoding.Key, decoding.Key, decoding.Count]] = []
+    released: list[tuple[decoding.Key, decoding.Key, Handover]] = []
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -58,12 +67,12 @@
     :param name: the target's id, from the path.
     :param body: the report.
     """
-    try:
-        wire = msgspec.json.decode(body, type=Document)
-    except msgspec.DecodeError as exc:
-        return f'report of "{name}": {exc}'
-    if wire.status.state not in STATES:
-        return f'report of "{name}": state "{wire.status.state}" is unknown'
+    if not decoding.is_name(name):
+        return f"report of {name[: decoding.MOST_CAUSE]!r}: this is no name"
+    decoded = decoding.decode(body, Document, find_fault)
+    if not isinstance(decoded, result.Success):
+        return f'report of "{name}": {decoded.failure()}'
+    wire = decoded.unwrap()
     return Announcement(
         report=grant.Report(
             lifetime=name_lifetime(name, wire.born),
@@ -76,10 +85,22 @@
         born_ms=wire.born,
         slots=max(1, wire.info.slots),
         state=STATES[wire.status.state],
-        cold_left_s=wire.status.cold_left_s,
+        cold_left_s=max(0.0, wire.status.cold_left_s),
     )
 
 
+def find_fault(wire: Document) -> str:
+    """Return what is wrong with the texts of a report, or an empty text.
+
+    :param wire: the report.
+    """
+    if wire.status.state not in STATES:
+        return f'state "{wire.status.state}" is unknown'
+    if not decoding.is_address(wire.address):
+        return f"address {wire.address!r} is not host:port"
+    return ""
+
+
 def name_lifetime(name: str, born_ms: int) -> identity.Lifetime:
     """Return the name of one lifetime of a target.
 
--- a/src/ebonyvalve/process/decoding.py
+++ b/src/ebonyvalve/process/decoding.py
@@ -213,6 +213,7 @@
 
     :param text: the text.
     """
+    # Lone surrogates, which have no bytes, are not printable.
     is_plain = text.isprintable() and text == text.strip()
     return is_plain and 0 < len(text.encode()) <= MOST_NAME_BYTES
 
--- a/tests/platform/test_announcement.py
+++ b/tests/platform/test_announcement.py
@@ -1,11 +1,14 @@
 """Status reports of targets, and those of other writers."""
 
+import hypothesis
+from hypothesis import strategies
 import msgspec
 import pytest
 
 from ebonyvalve.platform import announcement
 from ebonyvalve.process import member
 from ebonyvalve.process.keyspace import grant, ledger
+from tests.process.keyspace import test_records
 
 REPORT = {
     "address": "10.0.0.9:8080",
@@ -56,3 +59,58 @@
     span = ledger.Span(first=0, last=9, fence=3, node="n", holder="i-1@1", handover="ab")
     given = msgspec.json.decode(announcement.encode(grant.Grant(spans=(span,), hold_s=4.0)))
     assert given == {"holds": [[0, 9, 3, "ab"]], "hold_s": 4.0}
+
+
+DIGITS = b"9" * 30
+ODD_REPORTS = {
+    "nested": b'{"x":' + test_records.DEEP + b"}",
+    "number-too-large": b'{"status":{"seq":1e400}}',
+    **{
+        name: msgspec.json.encode({**REPORT, **change}).replace(b'"huge"', DIGITS)
+        for name, change in {
+            "slots-huge": {"info": {"backend": "orders", "slots": "huge"}},
+            "slots-negative": {"info": {"backend": "orders", "slots": -1}},
+            "sequence-huge": {"status": {"state": "ready", "seq": "huge"}},
+            "sequence-negative": {"status": {"state": "ready", "seq": -1}},
+            "cold-for-ages": {"status": {"state": "ready", "seq": 4, "cold_left_s": 1e300}},
+            "cold-negative": {"status": {"state": "ready", "seq": 4, "cold_left_s": -1e300}},
+            "born-huge": {"born": "huge"},
+            "born-in-ages": {"born": 10**15},
+            "born-negative": {"born": -5},
+            "key-beyond-last": {"holds": [[0, 65_536, 7]]},
+            "key-negative": {"holds": [[-1, 5, 7]]},
+            "fence-huge": {"holds": [[0, 5, "huge"]]},
+            "handover-huge": {"released": [[0, 5, "x" * 10_000]]},
+            "released-beyond-last": {"released": [[0, 10**9, "x"]]},
+            "address-nothing": {"address": ""},
+        }.items()
+    },
+}
+
+
+@pytest.mark.parametrize("body", ODD_REPORTS.values(), ids=ODD_REPORTS)
+def test_odd_report_is_refused(body: bytes) -> None:
+    """One odd report ended the node, or its figures failed later in divisions and headers."""
+    decoded = announcement.decode("i-1", body)
+    assert isinstance(decoded, str) and "i-1" in decoded and len(decoded) < 400
+
+
+@pytest.mark.parametrize("name", ["", "i-1\r\nx", " i", "i" * 10_000, "\ud800"])
+def test_odd_name_of_a_target_is_refused(name: str) -> None:
+    """The name goes into a header of every request to the target."""
+    assert isinstance(announcement.decode(name, msgspec.json.encode(REPORT)), str)
+
+
+@hypothesis.given(
+    strategies.binary()
+    | test_records.TREES.map(msgspec.json.encode)
+    | strategies.fixed_dictionaries({}, optional=dict.fromkeys(REPORT, test_records.TREES)).map(
+        lambda change: msgspec.json.encode({**REPORT, **change})
+    )
+)
+def test_any_bytes_are_a_usable_report_or_a_reason(body: bytes) -> None:
+    """An exception here ended the process."""
+    decoded = announcement.decode("i-1", body)
+    if isinstance(decoded, announcement.Announcement):
+        assert 0 < 1 / decoded.slots <= 1
+        assert 0 <= decoded.cold_left_s < 1e6
