Refuse configurations whose figures or names can't be used

An odd row of the operator ended all nodes at once (RecursionError out of operator.follow) or was applied and failed later: a negative idle time-out raises ValueError in the wait of each connection, a route's name with a line break LocalProtocolError in the head of each hop, both of which end the process; figures of 1e300 have no use. A version that is not 1 to 8 hexadecimal digits, such as one of a thousand, could hide every later one.

The last good configuration stays, its other rows are applied, and the reasons are logged once. A version of the operator's rows that another node names and that is beyond what the store has is forgotten at the next read; it hid all later hints, so that news came by the end of a follow only.

Failed before: 16 cases of tests/platform/test_operator.py, among them test_odd_configuration_leaves_the_last_good_one[nested] with RecursionError and test_odd_version_that_another_node_names_is_forgotten "assert 2 == 7".

--- a/src/ebonyvalve/platform/configuration.py
+++ b/src/ebonyvalve/platform/configuration.py
@@ -1,12 +1,20 @@
 """Decodes the operator's configuration of the platform into the product's objects."""
 
+import re
+import typing
+
 import msgspec
+from returns import result
 
-from ebonyvalve.process import identity
+from ebonyvalve.process import decoding, identity
 from ebonyvalve.process.load import policy
 from ebonyvalve.version import traffic
 
 ONCE = "non_idempotent"
+VERSION = re.compile(r"[0-9A-Fa-f]{1,8}\Z")
+MOST_WAIT_S = 1e6
+Wait = typing.Annotated[float, msgspec.Meta(ge=0, le=MOST_WAIT_S)]
+Weight = typing.Annotated[float, msgspec.Meta(ge=-decoding.MOST_LOAD, le=decoding.MOST_LOAD)]
 KINDS = {
     "idempotent": traffic.Repeat.IDEMPOTENT,
     "download": traffic.Repeat.IDEMPOTENT,
@@ -18,7 +26,7 @@
     """One service of a split route."""
 
     backend: str
-    weight: float
+    weight: Weight
 
 
 class RouteSpec(msgspec.Struct, kw_only=True):
@@ -27,10 +35,10 @@
     hostname: str
     prefix: str
     type: str
-    timeout_s: float
-    goal_s: float = 0.0
-    attempts: int = 1
-    priority: int = 0
+    timeout_s: Wait
+    goal_s: Wait = 0.0
+    attempts: decoding.Count = 1
+    priority: decoding.Count = 0
     backend: str = ""
     split: list[Part] = []
 
@@ -39,20 +47,20 @@
     """A service. ``sharded`` says that its keys have one owner each."""
 
     health_path: str = "/"
-    max_conns: int = 100
-    cold_s: float = 0.0
-    cold_per_s: float = 0.0
+    max_conns: decoding.Count = 100
+    cold_s: Wait = 0.0
+    cold_per_s: decoding.Load = 0.0
     sharded: bool = False
-    warmup_s: float = 0.0
+    warmup_s: Wait = 0.0
 
 
 class LimitsSpec(msgspec.Struct, kw_only=True):
     """What callers may send."""
 
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 67_108_864
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
+    max_header_bytes: decoding.Count = 16_384
+    max_body_bytes: decoding.Count = 67_108_864
+    header_timeout_s: Wait = 3.0
+    idle_timeout_s: Wait = 15.0
 
 
 class Meta(msgspec.Struct, kw_only=True):
@@ -81,11 +89,11 @@
 
     :param body: the operator's document.
     """
-    try:
-        document = msgspec.json.decode(body, type=Document)
-        version = identity.ConfigVersion(int(document.version, 16))
-    except (msgspec.DecodeError, ValueError) as exc:
-        return [f"configuration: {exc}"]
+    decoded = decoding.decode(body, Document, find_fault)
+    if not isinstance(decoded, result.Success):
+        return [f"configuration: {decoded.failure()}"]
+    document = decoded.unwrap()
+    version = identity.ConfigVersion(int(document.version, 16))
     problems: list[str] = []
     routes, services, limits = [], [], traffic.Limits()
     for resource in document.resources:
@@ -97,12 +105,27 @@
                 services.append(_decode_service(name, resource.spec))
             elif resource.res_type == "limits":
                 limits = _decode_limits(resource.spec)
-        except (msgspec.DecodeError, KeyError) as exc:
-            problems.append(f'{resource.res_type} "{name}": {exc}')
+        except decoding.UNREADABLE as exc:
+            problems.append(f'{resource.res_type} "{name}": {decoding.describe(exc)}')
     accepted = traffic.build(version=version, routes=routes, services=services, limits=limits)
     return problems or traffic.check(accepted) or accepted
 
 
+def find_fault(document: Document) -> str:
+    """Return what is wrong with the texts of a configuration, or an empty text.
+
+    :param document: the configuration.
+    """
+    if not VERSION.match(document.version):
+        return f"version {document.version!r} is not 1 to 8 hexadecimal digits"
+    for resource in document.resources:
+        # Names of routes and services go into headers between nodes.
+        name = resource.metadata.name
+        if resource.res_type in ("routes", "services") and not decoding.is_name(name):
+            return f"{resource.res_type} {name!r}: this is no name"
+    return ""
+
+
 def _decode_route(name: str, spec: msgspec.Raw) -> traffic.Route:
     wire = msgspec.json.decode(spec, type=RouteSpec)
     if wire.type not in KINDS:
--- a/src/ebonyvalve/platform/operator.py
+++ b/src/ebonyvalve/platform/operator.py
@@ -16,6 +16,8 @@
 EVACUATE = "evacuate/"
 FOLLOW_S = 10.0
 RETRY_S = 0.25
+# A line of the log is read as a whole; the status of the node has all reasons.
+MOST_REASONS = 4000
 
 
 async def follow(node: node_module.Node, current: traffic.Current, store: table.Store) -> None:
@@ -40,6 +42,8 @@
         if isinstance(read, table.Rows):
             apply(node, current, read, is_whole=is_whole)
             version = max(version, read.version)
+            # A version beyond what the store has hides all that are named after it.
+            node.named_version = min(node.named_version, version)
             node.is_operator_known = node.config is not None
             if is_whole and not node.is_operator_known:
                 await node_module.pause(node, RETRY_S)
@@ -80,8 +84,11 @@
 def _apply_config(node: node_module.Node, current: traffic.Current, row: table.Row) -> None:
     decoded = configuration.decode(row.value)
     if isinstance(decoded, list):
+        is_logged = node.refused == tuple(decoded)
         node.refused = tuple(decoded)
-        decision.record(log, logging.ERROR, "configuration-refused", reasons="; ".join(decoded))
+        if not is_logged:
+            reasons = "; ".join(decoded)[:MOST_REASONS]
+            decision.record(log, logging.ERROR, "configuration-refused", reasons=reasons)
         return
     if node.config is not None and decoded.version <= node.config:
         return
--- a/tests/platform/test_operator.py
+++ b/tests/platform/test_operator.py
@@ -2,15 +2,19 @@
 
 import collections.abc
 
+import hypothesis
+from hypothesis import strategies
 import msgspec
+import pytest
 import trio
 import trio.testing
 
-from ebonyvalve.platform import operator
+from ebonyvalve.platform import configuration, operator
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.store import table
 from ebonyvalve.version import traffic
 from tests.platform import mesh as mesh_module
+from tests.process.keyspace import test_records
 from tests.request import test_origin
 
 
@@ -102,3 +106,93 @@
         rows = table.Rows(rows=(row,), version=row.version, clock=None)
         operator.apply(node, current, rows, is_whole=False)
     assert node.config == 1
+
+
+GOOD = msgspec.json.decode(mesh_module.build_config(2))
+DEEP = test_records.DEEP
+
+
+def change_spec(number: int, **change: object) -> bytes:
+    """Return the good configuration with one resource changed."""
+    document = msgspec.json.decode(mesh_module.build_config(2))
+    document["resources"][number]["spec"].update(change)
+    return msgspec.json.encode(document)
+
+
+def rename(number: int, name: str) -> bytes:
+    document = msgspec.json.decode(mesh_module.build_config(2))
+    document["resources"][number]["metadata"]["name"] = name
+    return msgspec.json.encode(document)
+
+
+ODD_CONFIGS = {
+    "empty": b"",
+    "nested": b'{"x":' + DEEP + b"}",
+    "nested-spec": b'{"version":"2","resources":[{"res_type":"routes","spec":' + DEEP + b"}]}",
+    "number-too-large": b'{"version":"2","resources":[],"x":1e400,"resources":1e400}',
+    "version-signed": msgspec.json.encode({**GOOD, "version": "-2"}),
+    "version-too-long": msgspec.json.encode({**GOOD, "version": "f" * 5000}),
+    "version-spaced": msgspec.json.encode({**GOOD, "version": " 2 "}),
+    "time-out-too-large": change_spec(0, timeout_s=1e300),
+    "goal-negative": change_spec(0, goal_s=-1),
+    "priority-negative": change_spec(0, priority=-1),
+    "weight-too-large": change_spec(0, split=[{"backend": "lookup", "weight": 1e308}] * 2),
+    "idle-negative": change_spec(4, idle_timeout_s=-1),
+    "cold-too-large": change_spec(2, cold_s=1e300),
+    "route-name-line-break": rename(0, "a\r\nb"),
+    "service-name-empty": rename(2, ""),
+}
+
+
+@pytest.mark.parametrize("value", ODD_CONFIGS.values(), ids=ODD_CONFIGS)
+async def test_odd_configuration_leaves_the_last_good_one(
+    value: bytes, autojump_clock: trio.testing.MockClock, caplog: pytest.LogCaptureFixture
+) -> None:
+    """It ended the nodes, or failed later in waits and in headers of requests."""
+    node = test_origin.build_origin(0.0).node
+    current = traffic.Current()
+    caplog.set_level("INFO")
+    good = build_row("config", 1, mesh_module.build_config(1))
+    rows = (build_row("config", 2, value), build_row("evacuate/z2", 3, b"{}"))
+    operator.apply(node, current, table.Rows(rows=(good,), version=1, clock=None), is_whole=False)
+    for _ in range(3):
+        operator.apply(node, current, table.Rows(rows=rows, version=3, clock=None), is_whole=False)
+    assert node.config == 1
+    assert node.refused
+    assert node.evacuated == {"z2"}
+    logged = [entry for entry in caplog.records if entry.message == "configuration-refused"]
+    assert len(logged) == 1
+
+
+@hypothesis.given(
+    strategies.binary()
+    | test_records.TREES.map(msgspec.json.encode)
+    | strategies.dictionaries(
+        strategies.sampled_from(["timeout_s", "goal_s", "attempts", "priority", "split", "x"]),
+        test_records.TREES,
+    ).map(lambda change: change_spec(0, **change))
+)
+def test_any_bytes_are_a_configuration_or_reasons(value: bytes) -> None:
+    """An exception here ended every node at once."""
+    assert isinstance(configuration.decode(value), traffic.Traffic | list)
+
+
+async def test_odd_version_that_another_node_names_is_forgotten(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """A version beyond the store's counter hid all news that were named after it."""
+    node = test_origin.build_origin(0.0).node
+    rows = [build_row("config", 4, mesh_module.build_config(2))]
+    silent = [False]
+    store, _ = build_store(rows, silent)
+    nursery.start_soon(operator.follow, node, traffic.Current(), store)
+    await trio.sleep(0.1)
+    node_module.note_named(node, 2**52)
+    await trio.sleep(operator.FOLLOW_S + 0.1)
+    silent[0] = True
+    await trio.sleep(operator.FOLLOW_S)
+    rows[:] = [build_row("config", 9, mesh_module.build_config(7))]
+    silent[0] = False
+    node_module.note_named(node, 9)
+    await trio.sleep(0.1)
+    assert node.config == 7
