Refuse settings and addresses that can't be used

A settings file that changed to a deeply nested value, or to a store's address that is no host and port, ended the running daemon: the first by RecursionError out of reload.follow, the second by ValueError or OverflowError at the next call of the store. NaN, negative or infinite bounds were taken. An address that any other writer names did the same where it is connected to, since callers of connect expect OSError only.

Both connects refuse what is not host:port with OSError, as they do a refused connection, so that such an address is unreachable.

--- a/src/ebonyvalve/platform/settings.py
+++ b/src/ebonyvalve/platform/settings.py
@@ -1,9 +1,24 @@
 """Decodes the platform's settings file (TOML) into the product's place."""
 
+import typing
+
 import msgspec
+from returns import result
 
 from ebonyvalve import errors
-from ebonyvalve.process import identity, place
+from ebonyvalve.process import decoding, identity, place
+
+MOST_BOUND = 1e6
+SWITCHES = ("true", "false")
+USED_BOUNDS = (
+    "max_hold_s",
+    "drain_s",
+    "grace_s",
+    "retry_ratio",
+    "retry_window_s",
+    "retry_slack",
+)
+Heartbeat = typing.Annotated[float, msgspec.Meta(gt=0, le=3600)]
 
 
 class Listen(msgspec.Struct, kw_only=True):
@@ -30,7 +45,7 @@
     app_addr: str
     listen: Listen
     platform: Platform
-    heartbeat_s: float = 1.0
+    heartbeat_s: Heartbeat = 1.0
     bounds: list[str] = []
 
 
@@ -40,14 +55,10 @@
     :param body: the file's content.
     :raises errors.SettingsError: naming the field that is missing or wrong.
     """
-    # tomllib is needed once at start; nothing else of the daemon uses it.
-    import tomllib
-
-    try:
-        wire = msgspec.convert(tomllib.loads(body.decode()), Document, strict=False)
-        bounds = _decode_bounds(wire.bounds)
-    except (ValueError, msgspec.ValidationError) as exc:
-        raise errors.SettingsError(f"settings: {exc}") from exc
+    decoded = read(body)
+    if not isinstance(decoded, result.Success):
+        raise errors.SettingsError(f"settings: {decoded.failure()}")
+    wire, bounds = decoded.unwrap()
     return place.Place(
         node=identity.NodeId(wire.node),
         zone=identity.ZoneId(wire.zone),
@@ -70,13 +81,55 @@
     )
 
 
-def _decode_bounds(entries: list[str]) -> dict[str, float]:
+def read(body: bytes) -> result.Result[tuple[Document, dict[str, float]], str]:
+    """Return the settings and the bounds that they name, or what is wrong with them.
+
+    :param body: the file's content.
+    """
+    # tomllib is needed once at start; nothing else of the daemon uses it.
+    import tomllib
+
+    try:
+        tree = tomllib.loads(body.decode())
+    except decoding.UNREADABLE as exc:
+        return result.Failure(decoding.describe(exc))
+    converted = decoding.convert(tree, Document)
+    if not isinstance(converted, result.Success):
+        return result.Failure(converted.failure())
+    wire = converted.unwrap()
     bounds = {}
-    for entry in entries:
-        name, _, value = entry.partition("=")
-        try:
-            bounds[name.strip()] = float(value)
-        except ValueError:
-            # Bounds may also be true or false; none of those is used here.
-            continue
-    return bounds
+    for entry in wire.bounds:
+        name, _, value = (part.strip() for part in entry.partition("="))
+        # Bounds may also be true or false; none of those is used here.
+        if value not in SWITCHES:
+            bounds[name] = decoding.read_number(value, most=MOST_BOUND)
+    fault = find_fault(wire, bounds)
+    if fault:
+        return result.Failure(fault)
+    return result.Success((wire, {name: value or 0.0 for name, value in bounds.items()}))
+
+
+def find_fault(wire: Document, bounds: dict[str, float | None]) -> str:
+    """Return which setting can't be used, or an empty text.
+
+    :param wire: the settings.
+    :param bounds: the bounds by name; ``None`` for those that are no numbers.
+    """
+    for name in ("node", "zone", "backend"):
+        if not decoding.is_name(getattr(wire, name)):
+            return f"{name}: {getattr(wire, name)!r} is no name"
+    addresses = {
+        "app_addr": wire.app_addr,
+        "listen.outbound": wire.listen.outbound,
+        "listen.inbound": wire.listen.inbound,
+        "listen.ready": wire.listen.ready,
+        "listen.control": wire.listen.control,
+        "platform.address": wire.platform.address,
+    }
+    for name, address in addresses.items():
+        if not decoding.is_address(address):
+            return f"{name}: {address!r} is not host:port"
+    for name in USED_BOUNDS:
+        if name in bounds and bounds[name] is None:
+            return f"bounds: {name} is no number from 0 to {MOST_BOUND:g}"
+    return ""
--- a/src/ebonyvalve/platform/sockets.py
+++ b/src/ebonyvalve/platform/sockets.py
@@ -19,6 +19,7 @@
     :param address: an IP number and a port.
     :raises OSError: when the connection is refused.
     """
+    network.check_address(address)
     sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         await sock.connect(network.split_address(address))
--- a/src/ebonyvalve/process/network.py
+++ b/src/ebonyvalve/process/network.py
@@ -1,11 +1,13 @@
 """Addresses, and TCP connections with or without TLS."""
 
 import collections.abc
+import errno
 import ssl
 
 import trio
 
 from ebonyvalve import errors
+from ebonyvalve.process import decoding
 
 Connect = collections.abc.Callable[[str], collections.abc.Awaitable[trio.abc.Stream]]
 Serve = collections.abc.Callable[[trio.abc.Stream], collections.abc.Awaitable[None]]
@@ -21,12 +23,23 @@
     return host.strip("[]"), int(port)
 
 
+def check_address(address: str) -> None:
+    """Refuse an address to which no connection can be made.
+
+    :param address: as another process may have named it.
+    :raises OSError: which callers take for a refused connection.
+    """
+    if not decoding.is_address(address):
+        raise OSError(errno.EADDRNOTAVAIL, f"{address[: decoding.MOST_CAUSE]!r} is not host:port")
+
+
 async def connect_tcp(address: str) -> trio.abc.Stream:
     """Open a TCP connection.
 
     :param address: an IP number and a port.
     :raises OSError: when the connection is refused.
     """
+    check_address(address)
     host, port = split_address(address)
     return await trio.open_tcp_stream(host, port, happy_eyeballs_delay=None)
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -1,5 +1,7 @@
 """A settings file that can't be used is refused with the field's name."""
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from ebonyvalve import errors
@@ -31,3 +33,36 @@
     """The daemon can't start; its one line must say what to mend."""
     with pytest.raises(errors.SettingsError, match=named):
         settings.decode(broken)
+
+
+@pytest.mark.parametrize(
+    ("broken", "named"),
+    [
+        (b"a = " + b"[" * 100_000 + b"]" * 100_000, "settings"),
+        (b"a = " + b"9" * 5000, "settings"),
+        (GOOD.replace(b"heartbeat_s = 0.2", b"heartbeat_s = nan"), "heartbeat_s"),
+        (GOOD.replace(b"heartbeat_s = 0.2", b"heartbeat_s = -1"), "heartbeat_s"),
+        (GOOD.replace(b"heartbeat_s = 0.2", b"heartbeat_s = 0"), "heartbeat_s"),
+        (GOOD.replace(b"heartbeat_s = 0.2", b"heartbeat_s = 1e300"), "heartbeat_s"),
+        (GOOD.replace(b"127.0.0.1:6", b"127.0.0.1:70000"), "platform.address"),
+        (GOOD.replace(b"127.0.0.1:6", b"nowhere"), "platform.address"),
+        (GOOD.replace(b"127.0.0.1:1", b"127.0.0.1"), "listen.outbound"),
+        (GOOD.replace(b"127.0.0.1:5", b"127.0.0.1:-5"), "app_addr"),
+        (GOOD.replace(b"max_hold_s=10", b"max_hold_s=nan"), "max_hold_s"),
+        (GOOD.replace(b"grace_s=6", b"grace_s=-6"), "grace_s"),
+        (GOOD.replace(b"retry_ratio=0.2", b"retry_ratio=inf"), "retry_ratio"),
+        (GOOD.replace(b'"orders"', b'"or\\nders"'), "backend"),
+    ],
+)
+def test_odd_settings_name_the_field(broken: bytes, named: str) -> None:
+    """A changed file with such values ended the running daemon, at once or at the next call."""
+    assert broken != GOOD
+    with pytest.raises(errors.SettingsError, match=named):
+        settings.decode(broken)
+
+
+@hypothesis.given(strategies.binary() | strategies.text().map(lambda text: text.encode()))
+def test_any_bytes_are_settings_or_an_error(body: bytes) -> None:
+    """The file is read again while the daemon runs."""
+    with pytest.raises(errors.SettingsError):
+        settings.decode(body)
