--- a/tests/platform/test_sockets.py
+++ b/tests/platform/test_sockets.py
@@ -1,4 +1,4 @@
-"""Options of the sockets, on the machine's own kernel."""
+"""Sockets on the machine's own kernel: their options, and addresses that others have named."""
 
 import functools
 
@@ -6,6 +6,7 @@
 import trio
 
 from ebonyvalve.platform import sockets
+from ebonyvalve.process import network
 
 ANSWER = b"x" * 20_000_000
 
@@ -33,3 +34,15 @@
             size += len(data)
         assert size == len(ANSWER)
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    "address",
+    ["127.0.0.1:70000", "127.0.0.1:-1", "127.0.0.1:x", "127.0.0.1:", "nowhere", "", ":80"]
+    + ["a..b:80", "a\0b:80", "é" * 70 + ":80", "127.0.0.1:" + "9" * 5000, "\ud800:80"],
+)
+async def test_address_that_cannot_be_connected_to_is_unreachable(address: str) -> None:
+    """Callers expect OSError; OverflowError, ValueError or UnicodeError ended the process."""
+    for connect in (sockets.connect, network.connect_tcp):
+        with pytest.raises(OSError):
+            await connect(address)
