Read answers that are not passed on, or announce no length, to a limit

A refusal, an answer to another request or a success without a seal was read on until the request's deadline, with the place at the target and the connection held, though a refusal was the truth already; informational and foreign answers and bodies without a length had no limit but that; and one read of tiny chunks was handled without letting other tasks run (a chunk of one byte costs about as much as one of 64 KB).

Now limited: bytes (1 MiB), number (16) and time (0.25 s a body) of what is not passed on, headers of an answer (32 KiB, also when they come in one read), bytes of a body without an announced length (64 MiB), events between two turns of the loop (32). Then the connection is closed and the place freed; the end is "may have run", or the refusal if that was told by its name. An answer with an announced length passes whole. What h11 limits by itself is covered by the same table: bytes before the status line, header lines, chunk extensions, trailers; and what ends at the request's deadline.

--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -11,6 +11,8 @@
 
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 32_768
+# A read may bring thousands of tiny pieces; other tasks run between so many of them.
+EVENTS_PER_TURN = 32
 
 
 class WireFailure(enum.Enum):
@@ -34,6 +36,8 @@
     progress: int = 0
     is_reused: bool = False
     is_writing: bool = False
+    # Events since other tasks have run.
+    events: int = 0
     # One task may read a body while another answers; both may have to write.
     sending: trio.Lock = dataclasses.field(default_factory=trio.Lock)
 
@@ -68,6 +72,10 @@
     :param wire: the connection.
     """
     while True:
+        if wire.events >= EVENTS_PER_TURN:
+            wire.events = 0
+            await trio.lowlevel.checkpoint()
+        wire.events += 1
         try:
             event = wire.http.next_event()
         except h11.RemoteProtocolError:
@@ -81,6 +89,7 @@
             data = await wire.stream.receive_some(READ_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return result.Failure(WireFailure.CLOSED)
+        wire.events = 0
         wire.progress += len(data)
         wire.http.receive_data(bytes(data))
 
@@ -90,6 +99,9 @@
 
     :param wire: the connection.
     """
+    if wire.events >= EVENTS_PER_TURN:
+        return None
+    wire.events += 1
     try:
         event = wire.http.next_event()
     except h11.RemoteProtocolError:
--- a/src/ebonyvalve/request/dispatch.py
+++ b/src/ebonyvalve/request/dispatch.py
@@ -27,6 +27,15 @@
 }
 
 
+# Bytes that are read of answers that are not passed on, and how many of these there may be.
+MOST_STRAY_BYTES = 1_048_576
+MOST_STRAY_ANSWERS = 16
+# The rest of an answer that is not passed on; only the connection is lost without it.
+SKIP_TIMEOUT_S = 0.25
+# Bytes that are read of an answer that announces no length.
+MOST_UNANNOUNCED_BYTES = 67_108_864
+
+
 class Step(enum.Enum):
     """How far an attempt came."""
 
@@ -215,12 +224,15 @@
 async def _receive_head(
     slot: pool.Slot, conn: wire.Wire, proceed: trio.Event, identify: Identify | None
 ) -> h11.Response | None:
-    while True:
+    began_at = conn.progress
+    for _ in range(MOST_STRAY_ANSWERS):
         received = await wire.receive(conn)
-        if isinstance(received, result.Failure):
+        if isinstance(received, result.Failure) or conn.progress - began_at > MOST_STRAY_BYTES:
             return None
         event = received.unwrap()
         if isinstance(event, h11.Response):
+            if measure_head(event) > wire.MAX_HEAD_BYTES:
+                return None
             if identify is None or identify(list(event.headers)) is not proof.Naming.OTHER:
                 return event
             slot.is_spent = True
@@ -231,6 +243,17 @@
         if not isinstance(event, h11.InformationalResponse):
             return None
         proceed.set()
+    return None
+
+
+def measure_head(head: h11.Response) -> int:
+    """Return the size of a head's headers in bytes.
+
+    h11 bounds incomplete heads only; one that arrives in a single read may be longer.
+
+    :param head: the head.
+    """
+    return sum(len(name) + len(value) + 4 for name, value in head.headers)
 
 
 async def _pass_reply_body(
@@ -240,11 +263,15 @@
     attempt: Attempt,
     now: collections.abc.Callable[[], float],
 ) -> None:
+    began_at = conn.progress
+    is_announced = wire.find_header(attempt.headers, b"content-length") is not None
     while True:
         liveness.note_asked(slot.life, now())
         received = await wire.receive(conn)
         if isinstance(received, result.Failure):
             return
+        if not is_announced and conn.progress - began_at > MOST_UNANNOUNCED_BYTES:
+            return
         liveness.note_progress(slot.life, now())
         liveness.note_held(slot.life)
         event = received.unwrap()
@@ -263,9 +290,12 @@
 
 
 async def _skip_answer(conn: wire.Wire) -> None:
-    while True:
-        received = await wire.receive(conn)
-        if isinstance(received, result.Failure):
-            return
-        if not isinstance(received.unwrap(), h11.Data):
-            return
+    """Read an answer to its end, or to the limit, after which the connection can't be kept."""
+    began_at = conn.progress
+    with trio.move_on_after(SKIP_TIMEOUT_S):
+        while conn.progress - began_at <= MOST_STRAY_BYTES:
+            received = await wire.receive(conn)
+            if isinstance(received, result.Failure):
+                return
+            if not isinstance(received.unwrap(), h11.Data):
+                return
--- /dev/null
+++ b/tests/request/test_endless.py
@@ -0,0 +1,228 @@
+"""Answers of a target that come without end, until the router closes the connection."""
+
+import collections.abc
+import dataclasses
+
+import h11
+import pytest
+import trio
+import trio.testing
+
+from ebonyvalve.connection import pool, wire
+from ebonyvalve.request import delivery, dispatch, origin, outcome
+from tests.request import test_refusals
+
+DEADLINE_S = 2.0
+# Fast enough that no limit of time ends a stream before its limit of bytes.
+FLOOD_PAUSE_S = 0.0005
+TRICKLE_PAUSE_S = 0.05
+# One read may go beyond a limit, and what was read before it counts once more.
+SLACK_BYTES = 2 * wire.READ_BYTES
+SLACK_S = 0.1
+
+OWN = b"X-Attempt-Id: r1\r\n"
+OTHER = b"X-Attempt-Id: r0\r\n"
+SEALED = b"X-Response-Seal: s\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+OK = b"HTTP/1.1 200 OK\r\n"
+REFUSAL = b"HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\n" + OWN + CHUNKED
+HINT = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+FOREIGN = OK + OTHER + SEALED + b"Content-Length: 2\r\n\r\nok"
+TINY_CHUNK = b"1\r\na\r\n"
+CHUNK = b"8000\r\n" + b"a" * 0x8000 + b"\r\n"
+
+HEAD_BYTES = wire.MAX_HEAD_BYTES
+STRAY_BYTES = dispatch.MOST_STRAY_BYTES
+STREAM_BYTES = dispatch.MOST_UNANNOUNCED_BYTES
+SKIP_S = dispatch.SKIP_TIMEOUT_S
+
+LOST = outcome.Verdict.UNKNOWN
+NOT_RUN = outcome.Verdict.NOT_RUN
+ANSWERED = outcome.Verdict.ANSWERED
+
+
+@dataclasses.dataclass(kw_only=True)
+class Target:
+    """A target that answers each request with ``first`` and then ``unit`` without end."""
+
+    first: bytes
+    unit: bytes
+    pause_s: float
+    nursery: trio.Nursery
+    sent: int = 0
+    is_closed: trio.Event = dataclasses.field(default_factory=trio.Event)
+
+    async def connect(self, _: str) -> trio.abc.Stream:
+        ours, theirs = trio.testing.lockstep_stream_pair()
+        self.nursery.start_soon(self.serve, theirs)
+        return ours
+
+    async def serve(self, stream: trio.abc.Stream) -> None:
+        try:
+            await stream.receive_some(wire.READ_BYTES)
+            await stream.send_all(self.first)
+            while True:
+                await trio.sleep(self.pause_s)
+                await stream.send_all(self.unit)
+                self.sent += len(self.unit)
+        except trio.BrokenResourceError:
+            self.is_closed.set()
+
+
+def fill(unit: bytes) -> bytes:
+    return unit * max(1, wire.READ_BYTES // len(unit))
+
+
+async def run(
+    target: Target, *, method: str = "POST"
+) -> tuple[delivery.Ended, float, origin.Origin]:
+    """Send one order to the target; return its end and how long it took."""
+    entry = test_refusals.build_entry(test_refusals.Target(nursery=target.nursery))
+    entry.delivery.pool = pool.Pool(connect=target.connect, now=trio.current_time)
+    call = test_refusals.build_order("r1")
+    call.method = method
+    call.deadline_at_s = trio.current_time() + DEADLINE_S
+    started_at = trio.current_time()
+    ended = await delivery.run(entry.delivery, call, test_refusals.build_caller())
+    return ended, trio.current_time() - started_at, entry
+
+
+@pytest.mark.parametrize(
+    ("first", "unit", "most_bytes", "verdict"),
+    [
+        # What comes before the answer.
+        (b"", b"a", HEAD_BYTES, LOST),
+        (OK, b"X-A: a\r\n", HEAD_BYTES, LOST),
+        (OK + b"X-A: ", b"a", HEAD_BYTES, LOST),
+        (OK + OWN + SEALED + b"X-A: %s\r\n\r\n" % (b"a" * HEAD_BYTES), b"a", HEAD_BYTES, LOST),
+        (b"", HINT, STRAY_BYTES, LOST),
+        (b"", FOREIGN, STRAY_BYTES, LOST),
+        (OK + OTHER + CHUNKED, CHUNK, STRAY_BYTES, LOST),
+        (OK + OTHER + CHUNKED, TINY_CHUNK, STRAY_BYTES, LOST),
+        # A refusal that names the request is the truth, however it goes on.
+        (REFUSAL, CHUNK, STRAY_BYTES, NOT_RUN),
+        (REFUSAL, TINY_CHUNK, STRAY_BYTES, NOT_RUN),
+        # A success without a seal is not the target's.
+        (OK + OWN + CHUNKED, CHUNK, STRAY_BYTES, LOST),
+        (OK + OWN + b"\r\n", b"a", STRAY_BYTES, LOST),
+        # A sealed answer that announces no length.
+        (OK + OWN + SEALED + CHUNKED, CHUNK, STREAM_BYTES, LOST),
+        (OK + OWN + SEALED + b"\r\n", b"a", STREAM_BYTES, LOST),
+        (OK + OWN + SEALED + CHUNKED + b"1;", b"a", HEAD_BYTES, LOST),
+        (OK + OWN + SEALED + CHUNKED, b"1;" + b"a" * 16_000 + b"\r\na\r\n", STREAM_BYTES, LOST),
+        (OK + OWN + SEALED + CHUNKED + b"0\r\n", b"X-A: a\r\n", HEAD_BYTES, LOST),
+    ],
+)
+async def test_endless_answer_is_read_to_a_limit(
+    nursery: trio.Nursery,
+    autojump_clock: trio.testing.MockClock,
+    first: bytes,
+    unit: bytes,
+    most_bytes: int,
+    verdict: outcome.Verdict,
+) -> None:
+    """Such an answer held a place at the target, and the loop, until the request's deadline."""
+    target = Target(first=first, unit=fill(unit), pause_s=FLOOD_PAUSE_S, nursery=nursery)
+    ended, took_s, entry = await run(target)
+    assert ended.result.verdict is verdict
+    assert not entry.node.gate.running
+    with trio.fail_after(DEADLINE_S):
+        await target.is_closed.wait()
+    assert target.sent <= most_bytes + SLACK_BYTES
+    assert took_s < DEADLINE_S
+
+
+@pytest.mark.parametrize(
+    ("method", "first"),
+    [
+        # The length that is announced here is that of another answer's body.
+        ("HEAD", OK + OWN + SEALED + b"Content-Length: 9\r\n\r\n"),
+        ("POST", b"HTTP/1.1 204 No\r\n" + OWN + SEALED + b"\r\n"),
+        ("POST", b"HTTP/1.1 304 No\r\n" + OWN + SEALED + b"\r\n"),
+        ("POST", OK + OWN + SEALED + b"Content-Length: 0\r\n\r\n"),
+    ],
+)
+async def test_endless_bytes_after_an_answer_are_not_read(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock, method: str, first: bytes
+) -> None:
+    """They belong to no request, and the answer that they follow is whole."""
+    target = Target(first=first, unit=fill(b"a"), pause_s=FLOOD_PAUSE_S, nursery=nursery)
+    ended, _, _ = await run(target, method=method)
+    assert ended.result.verdict is ANSWERED
+    await trio.sleep(DEADLINE_S)
+    assert target.sent <= SLACK_BYTES
+
+
+@pytest.mark.parametrize(
+    ("first", "unit", "most_s", "verdict"),
+    [
+        (REFUSAL, TINY_CHUNK, SKIP_S, NOT_RUN),
+        (REFUSAL + b"1;", b"a", SKIP_S, NOT_RUN),
+        (OK + OWN + CHUNKED, TINY_CHUNK, SKIP_S, LOST),
+        (OK + OTHER + CHUNKED, TINY_CHUNK, SKIP_S, LOST),
+        (b"", HINT, DEADLINE_S, LOST),
+        (OK, b"X-A: a\r\n", DEADLINE_S, LOST),
+        (OK + OWN + SEALED + CHUNKED, TINY_CHUNK, DEADLINE_S, LOST),
+    ],
+)
+async def test_trickling_answer_is_read_for_a_limited_time(
+    nursery: trio.Nursery,
+    autojump_clock: trio.testing.MockClock,
+    first: bytes,
+    unit: bytes,
+    most_s: float,
+    verdict: outcome.Verdict,
+) -> None:
+    """A byte now and then passes every limit of idle time."""
+    target = Target(first=first, unit=unit, pause_s=TRICKLE_PAUSE_S, nursery=nursery)
+    ended, took_s, entry = await run(target)
+    assert ended.result.verdict is verdict
+    assert took_s <= most_s + SLACK_S
+    assert not entry.node.gate.running
+    with trio.fail_after(DEADLINE_S):
+        await target.is_closed.wait()
+
+
+async def test_long_answer_with_an_announced_length_passes_whole(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """The limits are for what the target does not announce."""
+    length = STREAM_BYTES + wire.READ_BYTES
+    first = OK + OWN + SEALED + b"Content-Length: %d\r\n\r\n" % length
+    target = Target(first=first, unit=fill(b"a"), pause_s=FLOOD_PAUSE_S, nursery=nursery)
+    ended, _, _ = await run(target)
+    assert ended.result.verdict is ANSWERED
+
+
+@pytest.mark.parametrize("side", [wire.open_client, wire.open_server])
+async def test_tiny_pieces_let_other_tasks_run(
+    side: collections.abc.Callable[[trio.abc.Stream], wire.Wire],
+) -> None:
+    """One read brings thousands of pieces; the loop stood still until all were handled."""
+    ours, theirs = trio.testing.memory_stream_pair()
+    conn = side(ours)
+    if conn.http.our_role is h11.CLIENT:
+        conn.http.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
+        conn.http.send(h11.EndOfMessage())
+        await theirs.send_all(OK + CHUNKED + fill(TINY_CHUNK) + b"0\r\n\r\n")
+    else:
+        head = b"POST / HTTP/1.1\r\nHost: x\r\n"
+        await theirs.send_all(head + CHUNKED + fill(TINY_CHUNK) + b"0\r\n\r\n")
+    pieces = 0
+    most = 0
+
+    async def watch() -> None:
+        nonlocal most, pieces
+        while True:
+            await trio.lowlevel.checkpoint()
+            most, pieces = max(most, pieces), 0
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(watch)
+        while True:
+            event = wire.poll(conn) or (await wire.receive(conn)).unwrap()
+            pieces += 1
+            if isinstance(event, h11.EndOfMessage):
+                break
+        nursery.cancel_scope.cancel()
+    assert max(most, pieces) <= 2 * wire.EVENTS_PER_TURN
