Bound what small messages bring beside their bodies

Answers to pings, pushes, probes and calls to the store were limited by the bytes of their bodies (16 MB) and by time. Informational answers without end and chunks that are almost all extension kept the loop busy until the time-out, and one read of tiny chunks let no other task run.

Now all bytes received count: 64 KiB up to the head, and 64 KiB plus twice the largest body after it; other tasks run every 32 events. Pings and pushes, which are answered with a status, read 1 KiB of a body, probes 64 KiB.

Evidence: tests/process/test_http.py with the old limits: endless informational answers had not ended after 12 s, endless extensions ended with TIMEOUT rather than BROKEN, and one turn of the loop handled all of 5,000 chunks ("assert 1 > 50").

--- a/src/ebonyvalve/process/http.py
+++ b/src/ebonyvalve/process/http.py
@@ -18,6 +18,10 @@
 
 READ_BYTES = 65_536
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# Also of informational answers before the real one.
+MAX_HEAD_BYTES = 65_536
+# A read may bring thousands of tiny pieces; other tasks run between so many of them.
+EVENTS_PER_TURN = 32
 IDLE_TIMEOUT_S = 60.0
 
 
@@ -119,7 +123,12 @@
 
 
 async def fetch(
-    connect: network.Connect, address: str, request: Request, *, timeout_s: float
+    connect: network.Connect,
+    address: str,
+    request: Request,
+    *,
+    timeout_s: float,
+    most_bytes: int = MAX_BODY_BYTES,
 ) -> result.Result[Reply, HttpFailure]:
     """Make one request on a connection of its own.
 
@@ -127,6 +136,7 @@
     :param address: ``IP:port`` of the server.
     :param request: what to send.
     :param timeout_s: seconds until the answer must be complete.
+    :param most_bytes: the largest body that is read.
     """
     with trio.move_on_after(timeout_s):
         try:
@@ -134,7 +144,7 @@
         except (OSError, trio.BrokenResourceError):
             return result.Failure(HttpFailure.UNREACHABLE)
         try:
-            return await _exchange(stream, address, request)
+            return await _exchange(stream, address, request, most_bytes)
         except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
             return result.Failure(HttpFailure.BROKEN)
         finally:
@@ -143,13 +153,13 @@
 
 
 async def _exchange(
-    stream: trio.abc.Stream, address: str, request: Request
+    stream: trio.abc.Stream, address: str, request: Request, most_bytes: int
 ) -> result.Result[Reply, HttpFailure]:
     http = h11.Connection(h11.CLIENT)
     headers = [("host", address), ("content-length", str(len(request.body))), *request.headers]
     head_sent = h11.Request(method=request.method, target=request.path, headers=headers)
     await send_message(stream, http, head_sent, request.body)
-    head, body = await receive_message(stream, http)
+    head, body = await receive_message(stream, http, most_bytes=most_bytes)
     if not isinstance(head, h11.Response):
         return result.Failure(HttpFailure.BROKEN)
     return result.Success(Reply(status=head.status_code, body=body))
@@ -167,10 +177,21 @@
     """
     head: h11.Request | h11.Response | None = None
     body = bytearray()
+    received = 0
+    events = 0
     while True:
+        events += 1
+        if events % EVENTS_PER_TURN == 0:
+            await trio.lowlevel.checkpoint()
         event = http.next_event()
         if event is h11.NEED_DATA:
-            http.receive_data(bytes(await stream.receive_some(READ_BYTES)))
+            # What frames the body in chunks may be many times as long as the body.
+            most = MAX_HEAD_BYTES if head is None else MAX_HEAD_BYTES + 2 * most_bytes
+            if received > most:
+                raise h11.RemoteProtocolError("message too large", error_status_hint=413)
+            data = bytes(await stream.receive_some(READ_BYTES))
+            received += len(data)
+            http.receive_data(data)
         elif isinstance(event, h11.Request | h11.Response):
             head = event
         elif isinstance(event, h11.Data):
--- a/src/ebonyvalve/process/monitor.py
+++ b/src/ebonyvalve/process/monitor.py
@@ -23,6 +23,8 @@
 
 CHECK_PERIOD_S = 0.05
 HEALTH_PATH = "/health"
+# Only the status counts.
+PROBE_BYTES = 65_536
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -107,7 +109,9 @@
     # The probe carries the end of the grant, so that a request longer than a lease can be applied.
     until = ("ebonyvalve-grant-until-ms", str(site.tell_grant_end_ms(monitor.here)))
     request = http.Request(method="GET", path=HEALTH_PATH, headers=(until,))
-    fetched = await http.fetch(monitor.connect, address, request, timeout_s=target.PROBE_TIMEOUT_S)
+    fetched = await http.fetch(
+        monitor.connect, address, request, timeout_s=target.PROBE_TIMEOUT_S, most_bytes=PROBE_BYTES
+    )
     return isinstance(fetched, result.Success) and fetched.unwrap().status == 200
 
 
--- a/src/ebonyvalve/process/push.py
+++ b/src/ebonyvalve/process/push.py
@@ -11,6 +11,8 @@
 log = logging.getLogger(__name__)
 
 TIMEOUT_S = 0.5
+# Other nodes answer with a status only.
+ANSWER_BYTES = 1024
 
 
 async def send(node: node_module.Node, connect: network.Connect, path: str, body: bytes) -> None:
@@ -31,7 +33,7 @@
 async def _send_one(
     connect: network.Connect, address: identity.Address, request: http.Request
 ) -> None:
-    sent = await http.fetch(connect, address, request, timeout_s=TIMEOUT_S)
+    sent = await http.fetch(connect, address, request, timeout_s=TIMEOUT_S, most_bytes=ANSWER_BYTES)
     if not isinstance(sent, result.Success):
         decision.record(
             log, logging.INFO, "push-failed", address=address, cause=sent.failure().value
--- a/src/ebonyvalve/request/reachability.py
+++ b/src/ebonyvalve/request/reachability.py
@@ -26,6 +26,8 @@
 SUSPECT_S = 0.4
 # A node that is short of processor time answers within this, or is as good as lost to its callers.
 PING_TIMEOUT_S = 0.35
+# It answers with a status only.
+PING_BYTES = 1024
 # A node that has answered a ping may take its time for a request.
 TRUST_S = 1.0
 # What may not be sent again is given up only when a node has not answered for this long, because
@@ -80,7 +82,9 @@
 
 async def _ping(watch: Watch, name: identity.NodeId, address: identity.Address) -> None:
     request = http.Request(method="GET", path=PING_PATH + urllib.parse.quote(name, safe=""))
-    sent = await http.fetch(watch.connect, address, request, timeout_s=PING_TIMEOUT_S)
+    sent = await http.fetch(
+        watch.connect, address, request, timeout_s=PING_TIMEOUT_S, most_bytes=PING_BYTES
+    )
     status = sent.unwrap().status if isinstance(sent, result.Success) else None
     if status == OTHER_NODE_STATUS:
         # What is under way to this address is the other node's.
--- /dev/null
+++ b/tests/process/test_http.py
@@ -0,0 +1,113 @@
+"""Small messages that come without end, until the reader closes the connection."""
+
+import collections.abc
+
+import h11
+import pytest
+from returns import result
+import trio
+import trio.testing
+
+from ebonyvalve.process import http
+
+TIMEOUT_S = 1.0
+FLOOD_PAUSE_S = 0.0005
+TRICKLE_PAUSE_S = 0.05
+MOST_BYTES = 262_144
+# One read may go beyond a limit.
+SLACK_BYTES = 2 * http.READ_BYTES
+
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+HINT = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+
+
+def build_connect(
+    nursery: trio.Nursery, first: bytes, unit: bytes, pause_s: float, sent: list[int]
+) -> collections.abc.Callable[[str], collections.abc.Awaitable[trio.abc.Stream]]:
+    async def serve(stream: trio.abc.Stream) -> None:
+        try:
+            await stream.receive_some(http.READ_BYTES)
+            await stream.send_all(first)
+            while True:
+                await trio.sleep(pause_s)
+                await stream.send_all(unit)
+                sent.append(len(unit))
+        except trio.BrokenResourceError:
+            return
+
+    async def connect(_: str) -> trio.abc.Stream:
+        ours, theirs = trio.testing.lockstep_stream_pair()
+        nursery.start_soon(serve, theirs)
+        return ours
+
+    return connect
+
+
+@pytest.mark.parametrize(
+    ("first", "unit", "most_bytes"),
+    [
+        (b"", b"a", http.MAX_HEAD_BYTES),
+        (OK + b"X-A: ", b"a", http.MAX_HEAD_BYTES),
+        (OK, b"X-A: a\r\n", http.MAX_HEAD_BYTES),
+        (b"", HINT, http.MAX_HEAD_BYTES),
+        (OK + CHUNKED, b"8000\r\n" + b"a" * 0x8000 + b"\r\n", MOST_BYTES),
+        (OK + CHUNKED, b"1;" + b"a" * 8_000 + b"\r\na\r\n", 2 * MOST_BYTES),
+        (OK + CHUNKED + b"0\r\n", b"X-A: a\r\n", http.MAX_HEAD_BYTES),
+        (OK + b"\r\n", b"a", MOST_BYTES),
+    ],
+)
+async def test_endless_answer_is_read_to_a_limit(
+    nursery: trio.Nursery,
+    autojump_clock: trio.testing.MockClock,
+    first: bytes,
+    unit: bytes,
+    most_bytes: int,
+) -> None:
+    """An answer to a ping, a push, a probe or a call to the store; it filled the memory."""
+    sent: list[int] = []
+    flood = unit * max(1, http.READ_BYTES // len(unit))
+    connect = build_connect(nursery, first, flood, FLOOD_PAUSE_S, sent)
+    request = http.Request(method="GET", path="/")
+    replied = await http.fetch(connect, "a:1", request, timeout_s=TIMEOUT_S, most_bytes=MOST_BYTES)
+    assert replied == result.Failure(http.HttpFailure.BROKEN)
+    assert sum(sent) <= most_bytes + SLACK_BYTES
+
+
+@pytest.mark.parametrize(
+    ("first", "unit"),
+    [(b"", b"a"), (OK, b"X-A: a\r\n"), (OK + CHUNKED, b"1\r\na\r\n"), (OK + b"\r\n", b"a")],
+)
+async def test_trickling_answer_is_read_for_a_limited_time(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock, first: bytes, unit: bytes
+) -> None:
+    """A byte now and then passes every limit of idle time."""
+    connect = build_connect(nursery, first, unit, TRICKLE_PAUSE_S, [])
+    request = http.Request(method="GET", path="/")
+    started_at = trio.current_time()
+    replied = await http.fetch(connect, "a:1", request, timeout_s=TIMEOUT_S)
+    assert replied == result.Failure(http.HttpFailure.TIMEOUT)
+    assert trio.current_time() - started_at <= TIMEOUT_S
+
+
+async def test_tiny_pieces_let_other_tasks_run() -> None:
+    """One read brings thousands of pieces; the loop stood still until all were handled."""
+    ours, theirs = trio.testing.memory_stream_pair()
+    protocol = h11.Connection(h11.CLIENT)
+    protocol.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
+    protocol.send(h11.EndOfMessage())
+    await theirs.send_all(OK + CHUNKED + b"1\r\na\r\n" * 5000 + b"0\r\n\r\n")
+    turns = 0
+
+    async def watch() -> None:
+        nonlocal turns
+        while True:
+            await trio.lowlevel.checkpoint()
+            turns += 1
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(watch)
+        _, body = await http.receive_message(ours, protocol)
+        nursery.cancel_scope.cancel()
+    assert len(body) == 5000
+    assert turns > 50
