--- a/src/ebonyvalve/process/push.py
+++ b/src/ebonyvalve/process/push.py
@@ -12,6 +12,8 @@
 log = logging.getLogger(__name__)
 
 TIMEOUT_S = 0.5
+# Other nodes answer with a status only.
+ANSWER_BYTES = 1024
 
 
 def list_colleagues(node: node_module.Node) -> set[identity.NodeId]:
@@ -51,7 +53,7 @@
 async def _send_one(
     connect: network.Connect, address: identity.Address, request: http.Request
 ) -> None:
-    sent = await http.fetch(connect, address, request, timeout_s=TIMEOUT_S)
+    sent = await http.fetch(connect, address, request, timeout_s=TIMEOUT_S, most_bytes=ANSWER_BYTES)
     if not isinstance(sent, result.Success):
         decision.record(
             log, logging.INFO, "push-failed", address=address, cause=sent.failure().value
--- a/src/ebonyvalve/request/reachability.py
+++ b/src/ebonyvalve/request/reachability.py
@@ -26,6 +26,8 @@
 SUSPECT_S = 0.4
 # A node that is short of processor time answers within this, or is as good as lost to its callers.
 PING_TIMEOUT_S = 0.35
+# It answers with a status only.
+PING_BYTES = 1024
 # A node that has answered a ping may take its time for a request.
 TRUST_S = 1.0
 # What may not be sent again ends with an unknown outcome, and an answer that is arriving is lost;
@@ -112,7 +114,7 @@
     async def connect(_: str) -> trio.abc.Stream:
         return connected
 
-    sent = await http.fetch(connect, address, request, timeout_s=timeout_s)
+    sent = await http.fetch(connect, address, request, timeout_s=timeout_s, most_bytes=PING_BYTES)
     return sent.unwrap().status if isinstance(sent, result.Success) else None
 
 
