Count an answer as begun only when it can be written

What callers saw: a connection closed with no answer, or after the head, when a small answer came just at the deadline.

Cause: h11 was given the message before the first write, which is where the deadline's cancellation arrives. The state said that the answer had begun although no byte was sent, so that no refusal was possible. A cancellation is now looked for before the message is given to h11; a write that stops later has sent bytes.

Evidence: test_answer_that_is_cancelled_before_a_byte_is_sent_has_not_begun, red before.

--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -127,6 +127,8 @@
         else:
             wire.sending.acquire_nowait()
         try:
+            # From here on the message counts as begun.
+            await trio.lowlevel.checkpoint_if_cancelled()
             parts = [wire.http.send(event) for event in events]
             data = b"".join(part for part in parts if part)
             if data:
--- a/tests/request/test_front.py
+++ b/tests/request/test_front.py
@@ -127,6 +127,23 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_answer_that_is_cancelled_before_a_byte_is_sent_has_not_begun(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """An answer came at the deadline: the connection was closed with no answer instead of a 504."""
+
+    async def answer_late(call: exchange.Call, caller: exchange.Caller) -> outcome.Outcome:
+        with trio.CancelScope() as scope:
+            scope.cancel()
+            await answer_all(call, caller)
+        assert not caller.is_begun()
+        return await answer_all(call, caller)
+
+    listener = build_front()
+    listener.handle = answer_late
+    assert (await exchange_bytes(listener, GOOD)).startswith(b"HTTP/1.1 200")
+
+
 async def test_idle_connection_is_closed(autojump_clock: trio.testing.MockClock) -> None:
     """Guards against connections that a caller opens and never uses."""
     start_s = trio.current_time()
