Let an odd row of a page of the store cost itself only

A page of the store was read as a whole, so that one value that is no base64 or one number of 1e400 made the node see none of its rows, and it followed nothing any more: the same page came again with every read. A row with a deeply nested value ended the node. base64 without validation passed over characters outside the alphabet, so that an odd value could stand for another one.

A page that can't be read as a whole is split into its rows, each of which is read alone; what is nested deeper than rows are is cut out first, since a reader refuses the text as a whole otherwise. A row whose name and version can be read stands with an empty value, which no decoder accepts, so that it is known to be there; others are left out. The version moves on, a clock that can't be read gives no reading, and each row is logged once a version. A page that has more but no row that says where to go on is asked for again, since part of a table must not pass for all of it.

--- a/src/ebonyvalve/platform/store.py
+++ b/src/ebonyvalve/platform/store.py
@@ -8,9 +8,10 @@
 
 import h11
 import msgspec
+from returns import result
 import trio
 
-from ebonyvalve.process import decision, http, network
+from ebonyvalve.process import decision, decoding, http, network
 from ebonyvalve.process.keyspace import lease
 from ebonyvalve.process.store import table
 
@@ -26,6 +27,8 @@
 GONE = 410
 # With these the store says that nothing was done.
 REFUSED = (429, 503, 403, 507)
+# A page is an object with a list of rows, which are objects.
+ROW_DEPTH = 3
 
 
 class WireRow(msgspec.Struct, kw_only=True):
@@ -35,16 +38,34 @@
     part: str = ""
     key: str = ""
     value: str = ""
-    ver: int = 0
+    ver: decoding.Count = 0
     removed: bool = False
 
 
+class WirePlace(msgspec.Struct, kw_only=True):
+    """What names a row whose value can't be read."""
+
+    table: str
+    key: str
+    ver: decoding.Count
+    part: str = ""
+
+
 class WireRows(msgspec.Struct, kw_only=True):
     """An answer about rows. ``now_s`` is the store's steady clock in seconds."""
 
     rows: list[WireRow] = []
-    ver: int = 0
-    now_s: float | None = None
+    ver: decoding.Count = 0
+    now_s: decoding.Seconds | None = None
+    has_more: bool = False
+
+
+class WirePage(msgspec.Struct, kw_only=True):
+    """An answer about rows of which some or the clock can't be read."""
+
+    rows: list[msgspec.Raw] = []
+    ver: decoding.Count = 0
+    now_s: msgspec.Raw = msgspec.Raw(b"null")
     has_more: bool = False
 
 
@@ -61,6 +82,7 @@
     on_return: collections.abc.Callable[[], None] = lambda: None
     idle: list[tuple[trio.abc.Stream, h11.Connection]] = dataclasses.field(default_factory=list)
     is_reachable: bool = True
+    unreadable: decoding.Unreadable = dataclasses.field(default_factory=decoding.Unreadable)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -91,7 +113,7 @@
         answer = await _call(
             client, "GET", f"/rows-feed?{query}", timeout_s=wait_s + FOLLOW_SLACK_S
         )
-        return answer if isinstance(answer, table.Trouble) else _decode_rows(answer)
+        return answer if isinstance(answer, table.Trouble) else _decode_rows(client, answer)
 
     async def commit(
         expected: dict[table.Name, int], writes: dict[table.Name, bytes | None]
@@ -124,11 +146,14 @@
         answer = await _call(client, "GET", f"/rows-get?{urllib.parse.urlencode(query)}")
         if isinstance(answer, table.Trouble):
             return answer
-        page = _decode_rows(answer)
+        page = _decode_rows(client, answer)
         if isinstance(page, table.Trouble):
             return page
         rows.extend(page.rows)
-        if not page.has_more or not page.rows:
+        if page.has_more and not page.rows:
+            # Nothing says where the next page begins, and part of a table must not pass for all.
+            return table.Trouble.UNKNOWN
+        if not page.has_more:
             return dataclasses.replace(page, rows=tuple(rows), has_more=False)
         # The smallest key above the last one.
         start = page.rows[-1].name.key + "\0"
@@ -154,7 +179,7 @@
     answer = await _call(client, "POST", "/rows-tx", msgspec.json.encode(body))
     if isinstance(answer, table.Trouble):
         return answer
-    decoded = _decode_rows(answer)
+    decoded = _decode_rows(client, answer)
     if isinstance(decoded, table.Trouble):
         return decoded
     if answer.status == CONFLICT:
@@ -166,31 +191,64 @@
     return {"table": name.table, "part": name.part, "key": name.key}
 
 
-def _decode_rows(answer: Answer) -> table.Rows | table.Trouble:
+def _decode_rows(client: Client, answer: Answer) -> table.Rows | table.Trouble:
     if answer.status == GONE:
         return table.Trouble.HISTORY_GONE
-    try:
-        wire = msgspec.json.decode(answer.body, type=WireRows)
-        rows = tuple(_decode_row(row) for row in wire.rows)
-    except (msgspec.DecodeError, ValueError) as exc:
-        decision.record(log, logging.ERROR, "store-answer-unreadable", cause=str(exc))
+    decoded = decoding.decode(answer.body, WireRows)
+    if not isinstance(decoded, result.Success):
+        decoded = _pick_readable(client, answer.body)
+    if not isinstance(decoded, result.Success):
+        cause = decoded.failure()
+        decision.record(log, logging.ERROR, "store-answer-unreadable", cause=cause)
         return table.Trouble.UNKNOWN
+    wire = decoded.unwrap()
     clock = None
     if wire.now_s is not None:
         clock = lease.StoreClock(
             asked_at=answer.asked_at, answered_at=answer.answered_at, read_s=wire.now_s
         )
+    rows = tuple(_decode_row(client, row) for row in wire.rows)
     return table.Rows(rows=rows, version=wire.ver, clock=clock, has_more=wire.has_more)
 
 
-def _decode_row(row: WireRow) -> table.Row:
+def _pick_readable(client: Client, body: bytes) -> result.Result[WireRows, str]:
+    """Return an answer without the rows, or the values of rows, that can't be read."""
+    split = decoding.decode(decoding.prune(body, ROW_DEPTH), WirePage)
+    if not isinstance(split, result.Success):
+        return result.Failure(split.failure())
+    page = split.unwrap()
+    rows = []
+    for raw in page.rows:
+        row = decoding.decode(raw, WireRow)
+        if not isinstance(row, result.Success):
+            place = decoding.decode(raw, WirePlace).value_or(None)
+            _note_unreadable(client, place or bytes(raw), row.failure())
+            if place is not None:
+                rows.append(
+                    WireRow(table=place.table, part=place.part, key=place.key, ver=place.ver)
+                )
+            continue
+        rows.append(row.unwrap())
+    now_s = decoding.decode(page.now_s, decoding.Seconds).value_or(None)
+    return result.Success(WireRows(rows=rows, ver=page.ver, now_s=now_s, has_more=page.has_more))
+
+
+def _note_unreadable(client: Client, place: WirePlace | WireRow | bytes, cause: str) -> None:
+    """Log a row that can't be read, once for each of its versions."""
+    if isinstance(place, bytes):
+        name, version = repr(place[: decoding.MOST_CAUSE]), table.MISSING
+    else:
+        name, version = f"{place.table}/{place.key}", place.ver
+    decoding.note_unreadable(client.unreadable, log, name, version, cause)
+
+
+def _decode_row(client: Client, row: WireRow) -> table.Row:
+    """Return a row; one whose value can't be read has an empty one, which no decoder accepts."""
+    value = decoding.decode_base64(row.value)
+    if not isinstance(value, result.Success):
+        _note_unreadable(client, row, value.failure())
     name = table.Name(table=table.TableName(row.table), part=row.part, key=row.key)
-    return table.Row(
-        name=name,
-        value=base64.b64decode(row.value),
-        version=row.ver,
-        is_removed=row.removed,
-    )
+    return table.Row(name=name, value=value.value_or(b""), version=row.ver, is_removed=row.removed)
 
 
 async def _call(
--- a/src/ebonyvalve/process/decoding.py
+++ b/src/ebonyvalve/process/decoding.py
@@ -28,6 +28,7 @@
 MOST_LOAD = 1e9
 MOST_NAME_BYTES = 256
 MOST_CAUSE = 200
+MOST_NOTED = 1000
 LAST_PORT = 65_535
 
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MOST_COUNT)]
@@ -65,6 +66,8 @@
     if unreadable.versions.get(row) == version:
         return
     unreadable.versions[row] = version
+    if len(unreadable.versions) > MOST_NOTED:
+        del unreadable.versions[next(iter(unreadable.versions))]
     decision.record(log, logging.ERROR, "row-unreadable", row=row, version=version, cause=cause)
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,6 +3,9 @@
 import dataclasses
 import functools
 
+import hypothesis
+from hypothesis import strategies
+import msgspec
 import pytest
 import trio
 import trio.testing
@@ -11,6 +14,7 @@
 from ebonyvalve.process import http
 from ebonyvalve.process.store import table
 from ebonyvalve.standin import metadata
+from tests.process.keyspace import test_records
 
 TABLE = table.TableName("mesh")
 
@@ -139,3 +143,95 @@
 
     client = store.Client(address="10.0.0.1:1", connect=connect, now=trio.current_time)
     assert await store.open_store(client).read(TABLE) is table.Trouble.UNAVAILABLE
+
+
+GOOD_ROW = {"table": "mesh", "part": "", "key": "a", "value": "b25l", "ver": 5}
+ONE = b"one"
+DEEP = b"[" * 100_000 + b"]" * 100_000
+ODD_ROWS = {
+    "base64-characters": (b'{"table":"mesh","key":"b","value":"b2$$5l","ver":6}', b""),
+    "base64-padding": (b'{"table":"mesh","key":"b","value":"b25","ver":6}', b""),
+    "base64-not-ascii": ('{"table":"mesh","key":"b","value":"é","ver":6}'.encode(), b""),
+    "value-number": (b'{"table":"mesh","key":"b","value":1e400,"ver":6}', b""),
+    "value-nested": (b'{"table":"mesh","key":"b","value":' + DEEP + b',"ver":6}', b""),
+    "extra-nested": (
+        b'{"table":"mesh","key":"b","value":"b25l","x":' + DEEP + b',"ver":6}',
+        b"one",
+    ),
+    "value-null": (b'{"table":"mesh","key":"b","value":null,"ver":6}', b""),
+    "version-too-large": (b'{"table":"mesh","key":"b","value":"b25l","ver":1e400}', None),
+    "version-negative": (b'{"table":"mesh","key":"b","value":"b25l","ver":-1}', None),
+    "key-number": (b'{"table":"mesh","key":7,"value":"b25l","ver":6}', None),
+    "no-row": (b"7", None),
+    "nothing-but-depth": (DEEP, None),
+}
+
+
+def build_client() -> store.Client:
+    async def connect(_: str) -> trio.abc.Stream:
+        raise OSError("not used")
+
+    return store.Client(address="10.0.0.1:1", connect=connect, now=lambda: 0.0)
+
+
+def build_page(*rows: bytes, **fields: object) -> store.Answer:
+    extra = "".join(f',"{name}":{value}' for name, value in fields.items())
+    body = b'{"rows":[' + b",".join(rows) + b'],"ver":9' + extra.encode() + b"}"
+    return store.Answer(status=200, body=body, asked_at=0.0, answered_at=0.1)
+
+
+@pytest.mark.parametrize(("odd", "value"), ODD_ROWS.values(), ids=ODD_ROWS)
+def test_odd_row_of_a_page_costs_itself(
+    odd: bytes, value: bytes | None, caplog: pytest.LogCaptureFixture
+) -> None:
+    """One odd row made its page unreadable, and the node followed nothing any more.
+
+    A row whose name and version can be read stands as an empty one, which no decoder accepts.
+    """
+    client = build_client()
+    good = msgspec.json.encode(GOOD_ROW)
+    last = msgspec.json.encode({**GOOD_ROW, "key": "c"})
+    for _ in range(2):
+        read = store._decode_rows(client, build_page(good, odd, last, now_s=3.5))
+        assert isinstance(read, table.Rows)
+        found = {row.name.key: row.value for row in read.rows}
+        assert found == {"a": b"one", "c": b"one"} | ({} if value is None else {"b": value})
+        assert read.version == 9
+        assert read.clock is not None and read.clock.read_s == 3.5
+    logged = [entry for entry in caplog.records if entry.message == "row-unreadable"]
+    assert len(logged) == (0 if value == b"one" else 1)
+
+
+@pytest.mark.parametrize("now_s", ["1e400", "-1", "null", '"3"', "[" * 5000 + "]" * 5000])
+def test_odd_clock_of_a_page_costs_itself(now_s: str) -> None:
+    """The rows are good without a reading of the clock."""
+    client = build_client()
+    read = store._decode_rows(client, build_page(msgspec.json.encode(GOOD_ROW), now_s=now_s))
+    assert isinstance(read, table.Rows)
+    assert (len(read.rows), read.version, read.clock) == (1, 9, None)
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"{", b"[]", b'{"rows":7}', b'{"rows":[],"ver":1e400}', DEEP]
+)
+def test_page_that_is_none_is_asked_for_again(body: bytes) -> None:
+    """Without its version, the node can't know what it has seen."""
+    client = build_client()
+    answer = store.Answer(status=200, body=body, asked_at=0.0, answered_at=0.1)
+    assert store._decode_rows(client, answer) is table.Trouble.UNKNOWN
+
+
+@hypothesis.given(
+    strategies.binary()
+    | test_records.TREES.map(msgspec.json.encode)
+    | strategies.lists(
+        strategies.fixed_dictionaries({}, optional=dict.fromkeys(GOOD_ROW, test_records.TREES)).map(
+            lambda change: msgspec.json.encode({**GOOD_ROW, **change})
+        )
+    ).map(lambda rows: build_page(*rows).body)
+)
+def test_any_bytes_are_rows_or_a_trouble(body: bytes) -> None:
+    """An exception here ended the process."""
+    client = build_client()
+    answer = store.Answer(status=200, body=body, asked_at=0.0, answered_at=0.1)
+    assert isinstance(store._decode_rows(client, answer), table.Rows | table.Trouble)
