Go on beside an odd ledger and odd rows of the own node

Beside a ledger of another writer each node asked the store for a write that could only fail, and read everything again after it: 16.6 calls a second and node once a machine was lost, where all nodes share a few hundred. A node whose own announcement had turned odd never wrote it anew, so that nodes that started later did not know it.

A node makes no write of a ledger whose row it can't read, and announces itself again when its own row can't be read.

The histories follow, renew and serve beside each odd row in each place, and no key has two holders.

--- a/src/ebonyvalve/process/decoding.py
+++ b/src/ebonyvalve/process/decoding.py
@@ -71,6 +71,15 @@
     decision.record(log, logging.ERROR, "row-unreadable", row=row, version=version, cause=cause)
 
 
+def is_unreadable(unreadable: Unreadable, row: str) -> bool:
+    """Return whether a row can't be used.
+
+    :param unreadable: the state.
+    :param row: names the row.
+    """
+    return row in unreadable.versions
+
+
 def note_readable(unreadable: Unreadable, row: str, version: int) -> None:
     """Note that a row can be used, or is gone.
 
--- a/src/ebonyvalve/process/keyspace/records.py
+++ b/src/ebonyvalve/process/keyspace/records.py
@@ -163,6 +163,9 @@
     elif key.startswith(BOOK_PREFIX) and not row.is_removed:
         fault = _take_book(steward, identity.ServiceId(key.removeprefix(BOOK_PREFIX)), row)
     place = describe_place(row.name)
+    if fault and key == MEMBER_PREFIX + steward.node.place.node:
+        # Nodes that start now know nothing of this one until it is written anew.
+        steward.announced = None
     if fault:
         decoding.note_unreadable(steward.node.unreadable, log, place, row.version, fault)
     else:
--- a/src/ebonyvalve/process/keyspace/steward.py
+++ b/src/ebonyvalve/process/keyspace/steward.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from ebonyvalve.process import decision, identity, member
+from ebonyvalve.process import decision, decoding, identity, member
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant, lease, ledger, plan, records, relief, tenure
 from ebonyvalve.process.load import heat
@@ -72,8 +72,11 @@
     node = steward.node
     service = node.place.service
     book = node.books.get(service)
-    situation = assess(steward)
     name = records.name_book(service)
+    if decoding.is_unreadable(node.unreadable, records.describe_place(name)):
+        # A write can only be based on the row that is there, of which nothing is known.
+        return False
+    situation = assess(steward)
     if book is None:
         if not situation.is_leader or not _has_gathered(steward, situation):
             return False
--- a/tests/process/keyspace/test_steward.py
+++ b/tests/process/keyspace/test_steward.py
@@ -486,6 +486,80 @@
     assert world.violations == []
 
 
+ODD_ROWS = {
+    "nested": b'{"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+    "number-too-large": b'{"slots":1e400,"until_s":1e400,"spans":1e400}',
+    "port-out-of-range": b'{"node":"n1","address":"10.0.0.1:70000","zone":"z1","service":"lookup",'
+    b'"lifetime":"t1@2","slots":6,"state":"ready"}',
+    "gap": b'{"spans":[[0,9,1,"n1","t1@2"],[11,65535,1,"n1","t1@2"]]}',
+    "not-json": b"\xff",
+}
+ODD_PLACES = ["mesh member/x", "mesh member/n1", "lease x", "lease n1", f"mesh book/{SERVICE}"]
+
+
+@pytest.mark.parametrize("place", ODD_PLACES)
+@pytest.mark.parametrize("value", ODD_ROWS.values(), ids=ODD_ROWS)
+async def test_nodes_go_on_beside_an_odd_row(
+    value: bytes, place: str, nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Another writer's entry ended the nodes that read it, or they followed nothing any more."""
+    world = await build_world(nursery)
+    name, _, key = place.partition(" ")
+    metadata.put(world.state, name, key, value)
+    for _ in range(150):
+        await trio.sleep(0.1)
+        assert count_held(world) > identity.LAST_SLOT // 2
+    assert world.violations == []
+    await wait_whole(world, 1.0)
+    keepers = [machine.keeper for machine in world.machines]
+    assert all(keeper is not None and keeper.mesh_version for keeper in keepers)
+    # The nodes still follow: a member that joins is known to all.
+    joined = add_machine(world)
+    await trio.sleep(4.0)
+    for machine in world.machines:
+        assert machine.keeper is not None
+        assert joined.name in machine.keeper.node.members
+        assert machine.keeper.lease_row is not None
+        assert machine.keeper.lease_row.until_s > trio.current_time() + 5.0
+    if key == "member/n1" or name == "lease":
+        kept = world.state.rows[name, "", key].value
+        is_own = key.endswith("n1")
+        assert (kept != value) is is_own, "a node writes its own rows anew"
+    assert world.violations == []
+
+
+async def test_odd_ledger_keeps_keys_where_they_are(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Keys of living nodes are served on, those of a lost one wait; none has two holders.
+
+    No write can be based on a ledger that nobody can read, so that nodes don't try.
+    """
+    world = await build_world(nursery)
+    metadata.put(world.state, "mesh", f"book/{SERVICE}", b"{}")
+    await trio.sleep(1.0)
+    calls = world.state.calls
+    await trio.sleep(10.0)
+    assert (world.state.calls - calls) / 10.0 / len(world.machines) < 3.0
+    assert is_whole(world)
+    lost = world.machines[0]
+    held = [machine.target and dict(machine.target.holds) for machine in world.machines[1:]]
+    lose_machine(lost)
+    # One that starts anew knows no ledger and gets none.
+    again = world.machines[1]
+    stop_node(again)
+    await trio.sleep(1.0)
+    nursery.start_soon(run_node, world, again)
+    await trio.sleep(15.0)
+    calls = world.state.calls
+    await trio.sleep(15.0)
+    assert (world.state.calls - calls) / 15.0 / len(world.machines) < 3.0
+    assert [machine.target and machine.target.holds for machine in world.machines[2:]] == held[1:]
+    assert again.target is not None and not again.target.holds
+    assert world.state.rows["mesh", "", f"book/{SERVICE}"].value == b"{}"
+    assert world.violations == []
+
+
 FAULTS = ["kill-node", "crash-target", "restart-target", "freeze", "store", "store-some", "leave"]
 
 
