Make a ledger anew with fences above all earlier ones

A ledger that was removed, as an operator may do with one that can't be read, was made anew with fence 1. Targets that lived on refuse fences below those that they have seen, and their keys would have been served nowhere.

The first fence is above the store's version that the node has read: each write raises a fence by one at most, and the store counts all writes.

--- a/src/ebonyvalve/process/keyspace/ledger.py
+++ b/src/ebonyvalve/process/keyspace/ledger.py
@@ -48,12 +48,13 @@
     weight: float
 
 
-def create(candidates: collections.abc.Iterable[Candidate]) -> Ledger:
+def create(candidates: collections.abc.Iterable[Candidate], fence: int = 0) -> Ledger:
     """Return the first ledger of a service.
 
     :param candidates: the targets known so far.
+    :param fence: no fence of an earlier ledger of the service is higher.
     """
-    vacant = Span(first=0, last=identity.LAST_SLOT, fence=0, node="", holder=NOBODY)
+    vacant = Span(first=0, last=identity.LAST_SLOT, fence=fence, node="", holder=NOBODY)
     return assign_vacant(Ledger(spans=(vacant,)), candidates)
 
 
--- a/src/ebonyvalve/process/keyspace/steward.py
+++ b/src/ebonyvalve/process/keyspace/steward.py
@@ -80,7 +80,9 @@
     if book is None:
         if not situation.is_leader or not _has_gathered(steward, situation):
             return False
-        return await _write(steward, name, table.MISSING, ledger.create(situation.candidates), {})
+        # A write raises a fence by one, so that none is above the store's counter of writes.
+        created = ledger.create(situation.candidates, fence=steward.mesh_version)
+        return await _write(steward, name, table.MISSING, created, {})
     proposed = plan.propose(book.ledger, situation)
     if proposed == book.ledger:
         return await _relieve_once(steward, name, book, situation)
--- a/tests/process/keyspace/test_steward.py
+++ b/tests/process/keyspace/test_steward.py
@@ -560,6 +560,33 @@
     assert world.violations == []
 
 
+async def test_ledger_that_is_made_anew_has_higher_fences(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Targets that live on refuse fences below those that they have seen, and would serve nothing.
+
+    This is the operator's way out of a ledger that can't be read.
+    """
+    world = await build_world(nursery)
+    start_target(world, world.machines[1])
+    await trio.sleep(4.0)
+    row = ("mesh", "", f"book/{SERVICE}")
+    before = ledger.decode(world.state.rows[row].value or b"").unwrap()
+    metadata.put(world.state, "mesh", f"book/{SERVICE}", b"{}")
+    for machine in world.machines:
+        stop_node(machine)
+    await trio.sleep(6.0)
+    metadata.put(world.state, "mesh", f"book/{SERVICE}", None)
+    for machine in world.machines:
+        nursery.start_soon(run_node, world, machine)
+    await wait_whole(world, 10.0)
+    after = ledger.decode(world.state.rows[row].value or b"").unwrap()
+    highest = max(span.fence for span in before.spans)
+    assert highest > 1
+    assert all(span.fence > highest for span in after.spans)
+    assert world.violations == []
+
+
 FAULTS = ["kill-node", "crash-target", "restart-target", "freeze", "store", "store-some", "leave"]
 
 
