Bound messages between nodes in bytes and in time

A ledger or a crash report of another node was read up to the largest body of a caller (64 MiB by default) and for as long as a part came every 10 s, each part added by a copy of the whole.

Evidence: test_endless_push_is_read_to_a_limit had not ended after 60 s on the code before, with the limits named.

--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -49,6 +49,9 @@
 SWEEP_S = 0.25
 DRAIN_POLL_S = 0.02
 MOST_CONNECTIONS = 2000
+# Of a message of another node, which gives up sooner.
+PUSH_BYTES = 1_048_576
+PUSH_TIMEOUT_S = 2.0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -249,18 +252,21 @@
     :param call: the message.
     :param caller: the other node.
     """
-    body = call.prefix
-    while not call.is_whole:
-        chunk = await caller.receive()
-        if not isinstance(chunk, result.Success):
-            return outcome.refuse(outcome.Reason.BODY_BROKEN)
-        data = chunk.unwrap()
-        body += data
-        call.is_whole = not data
+    body = bytearray(call.prefix)
+    with trio.move_on_after(PUSH_TIMEOUT_S):
+        while not call.is_whole and len(body) <= PUSH_BYTES:
+            chunk = await caller.receive()
+            if not isinstance(chunk, result.Success):
+                break
+            data = chunk.unwrap()
+            body += data
+            call.is_whole = not data
+    if not call.is_whole:
+        return outcome.refuse(outcome.Reason.BODY_BROKEN)
     if call.path == crash.CRASH_PATH:
-        is_taken = crash.take_push(entry.delivery.crashes, body)
+        is_taken = crash.take_push(entry.delivery.crashes, bytes(body))
     else:
-        is_taken = records.take_push(keeper, call.path, body)
+        is_taken = records.take_push(keeper, call.path, bytes(body))
     return await acknowledge(caller, 204 if is_taken else 400)
 
 
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -1,13 +1,19 @@
 """The whole path on loopback: daemons with targets and the stand-in of the store."""
 
+import dataclasses
 import socket
 
 import pytest
+from returns import result
 import trio
+import trio.testing
 
+from ebonyvalve.platform import daemon
 from ebonyvalve.process import http, network
+from ebonyvalve.request import crash, exchange
 from ebonyvalve.standin import metadata
 from tests.platform import mesh as mesh_module
+from tests.request import test_origin
 
 
 async def fetch_ready(mesh: mesh_module.Mesh, path: str) -> http.Reply:
@@ -177,3 +183,37 @@
         stopping = mesh.daemons[0].node
         stopping.is_stopping, stopping.is_ending = True, is_ending
         assert (await mesh_module.ask(client, "POST", "/orders/x"))[0] == status
+
+
+@pytest.mark.parametrize(("unit", "pause_s"), [(b"a" * 65_536, 0.001), (b"a", 0.5)])
+async def test_endless_push_is_read_to_a_limit(
+    autojump_clock: trio.testing.MockClock, unit: bytes, pause_s: float
+) -> None:
+    """A message between nodes was read up to the largest body of a caller, however slowly."""
+    entry = test_origin.build_origin(0.0)
+    told: list[int] = []
+    received = 0
+
+    async def receive() -> exchange.Chunk:
+        nonlocal received
+        await trio.sleep(pause_s)
+        received += len(unit)
+        return result.Success(unit)
+
+    async def reply(status: int, headers: exchange.Headers) -> bool:
+        told.append(status)
+        return False
+
+    async def finish() -> bool:
+        return False
+
+    caller = dataclasses.replace(test_origin.NO_CALLER, receive=receive, reply=reply, finish=finish)
+    call = test_origin.build_call(is_repeatable=True)
+    call.path = crash.CRASH_PATH
+    call.is_whole = False
+    started_at = trio.current_time()
+    with trio.move_on_after(60.0):
+        await daemon.take_push(entry, None, call, caller)  # type: ignore[arg-type]
+    assert trio.current_time() - started_at <= daemon.PUSH_TIMEOUT_S
+    assert received <= daemon.PUSH_BYTES + len(unit)
+    assert told in ([], [400])
