Take no kept connection to the store that has brought unasked bytes or its end

An answer that the store's end wrote once more on a kept connection was taken for that to the next call, whatever it asked: a commit that lost would have counted as done. And a call on a connection that had been closed while idle ended as "unknown", also a commit.

A kept connection is used only if nothing has come on it since its last answer; the product's client of its store, which looked for closed ones already, looks for unasked bytes too.

--- a/src/ebonyvalve/platform/store.py
+++ b/src/ebonyvalve/platform/store.py
@@ -204,7 +204,7 @@
     asked_at = client.now()
     trouble = table.Trouble.UNKNOWN
     with trio.move_on_after(timeout_s):
-        opened = client.idle.pop() if client.idle else await _connect(client)
+        opened = await _take_idle(client) or await _connect(client)
         if isinstance(opened, table.Trouble):
             return _note(client, opened)
         done = False
@@ -231,6 +231,18 @@
     return _note(client, trouble)
 
 
+async def _take_idle(client: Client) -> tuple[trio.abc.Stream, h11.Connection] | None:
+    """Return a kept connection on which nothing has come since its last answer."""
+    while client.idle:
+        stream, protocol = client.idle.pop()
+        left, is_closed = protocol.trailing_data
+        is_readable = isinstance(stream, trio.SocketStream) and stream.socket.is_readable()
+        if not (left or is_closed or is_readable):
+            return stream, protocol
+        await trio.aclose_forcefully(stream)
+    return None
+
+
 async def _connect(
     client: Client,
 ) -> tuple[trio.abc.Stream, h11.Connection] | table.Trouble:
--- a/src/ebonyvalve/process/remote.py
+++ b/src/ebonyvalve/process/remote.py
@@ -404,7 +404,8 @@
         connection = client.idle.pop()
         # An idle connection becomes readable when the server closes it. A request sent on it would
         # fail, and a commit may not be sent again.
-        is_usable = not connection.stream.socket.is_readable()
+        left, _ = connection.protocol.trailing_data
+        is_usable = not left and not connection.stream.socket.is_readable()
         if is_usable and time.monotonic() - connection.idle_since_s < CLIENT_IDLE_S:
             return connection
         connection.stream.socket.close()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,7 +8,7 @@
 import trio.testing
 
 from ebonyvalve.platform import store
-from ebonyvalve.process import http
+from ebonyvalve.process import http, network
 from ebonyvalve.process.store import table
 from ebonyvalve.standin import metadata
 
@@ -139,3 +139,56 @@
 
     client = store.Client(address="10.0.0.1:1", connect=connect, now=trio.current_time)
     assert await store.open_store(client).read(TABLE) is table.Trouble.UNAVAILABLE
+
+
+async def test_unasked_answer_of_the_store_is_not_taken_for_the_next(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """A second answer on a kept connection was believed for the next call, whatever it asked."""
+    version = 0
+
+    async def serve(stream: trio.abc.Stream) -> None:
+        nonlocal version
+        while await stream.receive_some(65_536):
+            version += 1
+            await stream.send_all(build_rows(version) + build_rows(99))
+
+    async def connect(_: str) -> trio.abc.Stream:
+        ours, theirs = trio.testing.memory_stream_pair()
+        nursery.start_soon(serve, theirs)
+        return ours
+
+    client = store.Client(address="10.0.0.1:1", connect=connect, now=trio.current_time)
+    calls = store.open_store(client)
+    for expected in (1, 2):
+        read = await calls.read(TABLE)
+        assert isinstance(read, table.Rows)
+        assert read.version == expected
+
+
+async def test_call_takes_no_connection_that_the_store_has_closed() -> None:
+    """A commit on such a connection ended without saying whether it was done."""
+    async with trio.open_nursery() as nursery:
+        accepted: list[trio.SocketStream] = []
+
+        async def serve(stream: trio.SocketStream) -> None:
+            accepted.append(stream)
+            if await stream.receive_some(65_536):
+                await stream.send_all(build_rows(len(accepted)))
+            await stream.aclose()
+
+        listeners = await nursery.start(trio.serve_tcp, serve, 0)
+        address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        client = store.Client(address=address, connect=network.connect_tcp, now=trio.current_time)
+        calls = store.open_store(client)
+        for expected in (1, 2):
+            read = await calls.read(TABLE)
+            assert isinstance(read, table.Rows)
+            assert read.version == expected
+            await trio.sleep(0.05)
+        nursery.cancel_scope.cancel()
+
+
+def build_rows(version: int) -> bytes:
+    body = b'{"rows":[],"ver":%d,"now_s":1.0}' % version
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
