--- a/src/ebonyvalve/process/keyspace/tenure.py
+++ b/src/ebonyvalve/process/keyspace/tenure.py
@@ -181,6 +181,7 @@
 
 async def read_leases(steward: records.Steward) -> None:
     node = steward.node
+    steward.leases_asked_at = node.now()
     read = await steward.store.read(records.LEASES)
     if not isinstance(read, table.Rows):
         return
