Count the time that a request waited to be read

A node that had stood still for half a second told its target, and the next node, of half a second more than the caller had left, so that targets worked on after their callers' time.

The kernel knows when the bytes came (tcpi_last_data_recv in TCP_INFO), also for connections that were not accepted yet. The front asks once for each head and counts the budget from then, at both nodes. A body that is still coming makes the age smaller, never larger, so that no budget is cut too far. The accept time can't tell: a node that stands still accepts late, too.

Test that failed before: test_time_that_a_request_waited_unread_counts, new and kept connection, one and two nodes: "1999 <= 1520" ms at the target after 0.5 s unread.

--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 import select
+import socket
+import struct
 
 import h11
 from returns import result
@@ -12,6 +14,9 @@
 
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 32_768
+# Where ``struct tcp_info`` of Linux holds the milliseconds since data last came.
+LAST_DATA_OFFSET = 52
+LAST_DATA = struct.Struct("=I")
 
 
 class WireFailure(enum.Enum):
@@ -116,6 +121,28 @@
     return bool(poll.poll(0))
 
 
+def find_age(wire: Wire) -> float:
+    """Return how many seconds ago the peer's last bytes came, as far as the kernel says.
+
+    A process that is short of time reads them later.
+
+    :param wire: the connection.
+    """
+    stream = wire.stream
+    if not isinstance(stream, trio.SocketStream):
+        return 0.0
+    size = LAST_DATA_OFFSET + LAST_DATA.size
+    try:
+        info = stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
+    except OSError:
+        # Not TCP, or closed meanwhile.
+        return 0.0
+    if len(info) < size:
+        return 0.0
+    (age_ms,) = LAST_DATA.unpack_from(info, LAST_DATA_OFFSET)
+    return float(age_ms) / 1000
+
+
 async def send(wire: Wire, *events: h11.Event) -> SendResult:
     """Write events in one call of the stream.
 
--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -231,7 +231,7 @@
     if call.path.startswith(records.LEDGER_PATH) or call.path == crash.CRASH_PATH:
         return await take_push(entry, keeper, call, caller)
     relay.take_seen(entry.node, call.headers)
-    if not relay.undress_hop(call, call.headers, entry.node.now()):
+    if not relay.undress_hop(call, call.headers):
         refusal = outcome.refuse(outcome.Reason.BAD_REQUEST)
         await origin.refuse(caller, refusal, 0.0)
         return refusal
--- a/src/ebonyvalve/platform/dialect.py
+++ b/src/ebonyvalve/platform/dialect.py
@@ -87,6 +87,7 @@
 
     def parse(_: front.Front, head: h11.Request) -> exchange.Call | str:
         headers = list(head.headers)
+        arrived_at_s = now()
         request_id = wire.find_header(headers, REQUEST_ID) or b""
         return exchange.Call(
             request_id=request_id.decode("latin-1"),
@@ -96,8 +97,9 @@
             path=head.target.decode("latin-1"),
             headers=headers,
             length=front.find_length(headers),
-            deadline_at_s=now() + 60.0,
+            deadline_at_s=arrived_at_s + 60.0,
             is_hop=False,
+            arrived_at_s=arrived_at_s,
         )
 
     return parse
--- a/src/ebonyvalve/request/exchange.py
+++ b/src/ebonyvalve/request/exchange.py
@@ -46,7 +46,8 @@
 
     ``prefix`` is the beginning of the body, held so that the request can be recognised and sent
     again; ``is_whole`` says that it is the whole body. ``length`` is ``None`` for a body of
-    unknown length.
+    unknown length. ``arrived_at_s`` is when the kernel had the head, which may have waited to be
+    read; a time budget counts from then.
     """
 
     request_id: str
@@ -58,6 +59,7 @@
     length: int | None
     deadline_at_s: float
     is_hop: bool
+    arrived_at_s: float
     token: str | None = None
     prefix: bytes = b""
     is_whole: bool = False
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -123,6 +123,9 @@
     if isinstance(call, str):
         await _reply_error(conn, outcome.refuse(outcome.Reason.BAD_REQUEST), call)
         return False
+    age_s = wire.find_age(conn)
+    call.arrived_at_s -= age_s
+    call.deadline_at_s -= age_s
     _, max_body_bytes = front.find_limits(call.service)
     incoming = Incoming(
         conn=conn, front=front, max_body_bytes=max_body_bytes, is_head_only=call.method == "HEAD"
@@ -201,6 +204,7 @@
         length=find_length(headers),
         deadline_at_s=deadline_at.unwrap(),
         is_hop=front.is_hop,
+        arrived_at_s=front.now(),
         token=None if token is None else token.decode("ascii", "replace"),
     )
 
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -88,8 +88,8 @@
         return outcome.refuse(outcome.Reason.BAD_REQUEST)
     most_s = route.timeout_s if head.budget_s is None else min(route.timeout_s, head.budget_s)
     call.service = service
-    call.deadline_at_s = node.now() + most_s
-    if not pace.can_serve(node.behind, most_s):
+    call.deadline_at_s = call.arrived_at_s + most_s
+    if not pace.can_serve(node.behind, call.deadline_at_s - node.now()):
         return outcome.refuse(outcome.Reason.BEHIND)
     call.rules = exchange.Rules(
         is_repeatable=route.repeat is traffic.Repeat.IDEMPOTENT,
--- a/src/ebonyvalve/request/relay.py
+++ b/src/ebonyvalve/request/relay.py
@@ -66,18 +66,17 @@
     ]
 
 
-def undress_hop(call: exchange.Call, headers: exchange.Headers, now: float) -> bool:
+def undress_hop(call: exchange.Call, headers: exchange.Headers) -> bool:
     """Read what :func:`dress_hop` wrote into a request; return whether it was all there.
 
     :param call: the request, as read.
     :param headers: its headers.
-    :param now: seconds on the node's clock.
     """
     found = {name: value.decode() for name, value in headers if name.startswith(PREFIX)}
     try:
         repeatable, attempts, priority, objective_ms, slot, kind = found[RULES_HEADER].split(",", 5)
         call.service = identity.ServiceId(found[SERVICE_HEADER])
-        call.deadline_at_s = now + int(found[DEADLINE_HEADER]) / 1000
+        call.deadline_at_s = call.arrived_at_s + int(found[DEADLINE_HEADER]) / 1000
         call.rules = exchange.Rules(
             is_repeatable=repeatable == "1",
             attempts=int(attempts),
--- a/src/ebonyvalve/standin/target.py
+++ b/src/ebonyvalve/standin/target.py
@@ -19,7 +19,8 @@
 class Target:
     """A target with what it holds.
 
-    ``reached`` lists the ids of requests that came, ``ran`` of those that it has run.
+    ``reached`` lists the ids of requests that came, ``budgets_ms`` the time budgets that they came
+    with, ``ran`` the ids of those that it has run.
     """
 
     name: str
@@ -39,6 +40,7 @@
     released: list[tuple[int, int, str]] = dataclasses.field(default_factory=list)
     reached: list[str] = dataclasses.field(default_factory=list)
     ran: list[str] = dataclasses.field(default_factory=list)
+    budgets_ms: list[int] = dataclasses.field(default_factory=list)
     callers: list[str] = dataclasses.field(default_factory=list)
     dropped: int = 0
 
@@ -91,6 +93,7 @@
     headers = {name.decode(): value.decode() for name, value in head.headers}
     request_id = headers.get("x-attempt-id", "")
     target.reached.append(request_id)
+    target.budgets_ms.append(int(headers.get("x-deadline-ms", "0")))
     if headers.get("x-expect-instance") != target.name or not _holds(target, headers):
         return _reply(MISDIRECTED, [("x-not-executed", "1")], b"")
     if target.running >= target.slots:
--- a/tests/platform/test_gone.py
+++ b/tests/platform/test_gone.py
@@ -1,11 +1,13 @@
 """Callers that leave before their requests have been sent on, or while targets work on them."""
 
 import socket
+import time
 
 import pytest
 import trio
 
 from ebonyvalve.process import network
+from ebonyvalve.process.load import pace
 from tests.platform import mesh as mesh_module
 
 LONG = b"x" * 6000
@@ -16,12 +18,18 @@
         f"{method} {path} HTTP/1.1",
         f"host: {mesh_module.HOST}",
         f"x-attempt-id: {name}",
+        "x-deadline-ms: 2000",
         "x-shard-key: 1",
         f"content-length: {len(body)}",
     ]
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+def stand_still(seconds: float) -> None:
+    """Give the loop no turn, as a freeze does."""
+    time.sleep(seconds)
+
+
 async def warm_up(mesh: mesh_module.Mesh) -> None:
     """Wait until all nodes serve both services; then forget what has reached the targets."""
     for address in mesh.outbound:
@@ -114,3 +122,26 @@
         await stream.send_all(build_request("POST", "/orders/x", "second", b"x" * 60_000))
         with trio.fail_after(2.0):
             assert (await stream.receive_some(65_536)).startswith(b"HTTP/1.1 200")
+
+
+@pytest.mark.parametrize("node", [0, 1])
+@pytest.mark.parametrize("is_kept", [False, True])
+async def test_time_that_a_request_waited_unread_counts(
+    monkeypatch: pytest.MonkeyPatch, node: int, is_kept: bool
+) -> None:
+    """Targets were told of more time than the caller had left, after a node had stood still."""
+    # How far the node is behind decides on the request before.
+    monkeypatch.setattr(pace, "can_serve", lambda *_: True)
+    async with mesh_module.open_mesh(["orders", "lookup"]) as mesh:
+        await warm_up(mesh)
+        one = mesh.targets[0]
+        with socket.create_connection(network.split_address(mesh.outbound[node])) as sock:
+            if is_kept:
+                sock.sendall(build_request("POST", "/orders/x", "first"))
+                await trio.sleep(0.2)
+            one.budgets_ms.clear()
+            sock.sendall(build_request("POST", "/orders/x", "r"))
+            stand_still(0.5)
+            await trio.sleep(0.2)
+        assert len(one.budgets_ms) == 1
+        assert 1000 <= one.budgets_ms[0] <= 1520
--- a/tests/request/test_origin.py
+++ b/tests/request/test_origin.py
@@ -84,6 +84,7 @@
         length=0,
         deadline_at_s=trio.current_time() + 2.0,
         is_hop=False,
+        arrived_at_s=trio.current_time(),
         is_whole=True,
         rules=exchange.Rules(
             is_repeatable=is_repeatable,
