Count repeats by service

A service with a tenth of the requests that turned all away got 106 repeats of 100 requests in the test, where 20 are its own: what the other services earned was spent on it, and nothing was left for theirs.

A node now has a bucket for each service, all with the same share and burst (budget.Allowance). Settings and the size of the mesh are applied to all of them. `explain` names the repeats of each service.

test_repeats_of_a_service_keep_to_its_own_requests is green; its bound is unchanged, and it names the service that earns.

--- a/src/ebonyvalve/process/budget.py
+++ b/src/ebonyvalve/process/budget.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from ebonyvalve.process import identity
+
 RETRY_SHARE = 0.1
 HEDGE_SHARE = 0.05
 # Lets a node with little traffic retry; it bounds the retries of an idle node to 10 in a burst.
@@ -17,6 +19,28 @@
     level: float = BURST
 
 
+@dataclasses.dataclass(kw_only=True)
+class Allowance:
+    """A bucket for each service, all with the same share and burst."""
+
+    share: float
+    burst: float = BURST
+    buckets: dict[identity.ServiceId, Budget] = dataclasses.field(default_factory=dict)
+
+
+def find(allowance: Allowance, service: identity.ServiceId) -> Budget:
+    """Return the bucket of a service; a new one is full.
+
+    :param allowance: the buckets.
+    :param service: one that the configuration names.
+    """
+    bucket = allowance.buckets.get(service)
+    if bucket is None:
+        share, burst = allowance.share, allowance.burst
+        bucket = allowance.buckets[service] = Budget(share=share, burst=burst, level=burst)
+    return bucket
+
+
 def earn(budget: Budget) -> None:
     """Credit one request.
 
@@ -35,17 +59,30 @@
     return ratio / 2
 
 
-def divide(budget: Budget, slack: float, nodes: int) -> None:
+def set_share(allowance: Allowance, share: float) -> None:
+    """Change how much of an extra attempt each request earns.
+
+    :param allowance: the buckets.
+    :param share: from :func:`choose_share`.
+    """
+    allowance.share = share
+    for bucket in allowance.buckets.values():
+        bucket.share = share
+
+
+def divide(allowance: Allowance, slack: float, nodes: int) -> None:
     """Give a node its part of the extra attempts that all nodes together may make in a burst.
 
     Half is kept back: a window may begin just before one burst and end just after the next.
 
-    :param budget: the bucket.
-    :param slack: extra attempts of all nodes.
+    :param allowance: the buckets.
+    :param slack: extra attempts of all nodes for one service.
     :param nodes: how many nodes there are.
     """
-    budget.burst = slack / (2 * max(1, nodes))
-    budget.level = min(budget.level, budget.burst)
+    allowance.burst = slack / (2 * max(1, nodes))
+    for bucket in allowance.buckets.values():
+        bucket.burst = allowance.burst
+        bucket.level = min(bucket.level, bucket.burst)
 
 
 def spend(budget: Budget) -> bool:
--- a/src/ebonyvalve/process/node.py
+++ b/src/ebonyvalve/process/node.py
@@ -68,7 +68,7 @@
     draw: collections.abc.Callable[[], float]
     gate: gate.Gate
     grantor: grant.Grantor
-    budget: budget.Budget
+    budget: budget.Allowance
     heat: heat.Heat
     behind: pace.Pace = dataclasses.field(default_factory=pace.Pace)
     counted: tally.Tally = dataclasses.field(default_factory=tally.Tally)
--- a/src/ebonyvalve/request/explanation.py
+++ b/src/ebonyvalve/request/explanation.py
@@ -2,7 +2,7 @@
 
 import collections.abc
 
-from ebonyvalve.process import identity, member, survey
+from ebonyvalve.process import budget, identity, member, survey
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import ledger
 from ebonyvalve.request import origin
@@ -36,7 +36,8 @@
             lines.append("  its requests need a key: 400")
         else:
             lines.extend(_explain_owner(entry.node, service, slot))
-    lines.append(f"repeats that this node may make now: {int(entry.node.budget.level)}")
+        repeats = budget.find(entry.node.budget, service).level
+        lines.append(f"  repeats that this node may make now: {int(repeats)}")
     return lines
 
 
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -122,7 +122,7 @@
         await refuse(caller, refusal, RETRY_AFTER_S)
         _record(origin, call, refusal, started_at, [])
         return refusal
-    budget.earn(origin.node.budget)
+    budget.earn(budget.find(origin.node.budget, call.service))
     kept = held.hold_back(caller)
     tried: list[identity.NodeId] = []
     ended, is_gone = await _run_watched(
@@ -185,6 +185,7 @@
     rules = call.rules
     assert rules is not None
     node = origin.node
+    bucket = budget.find(node.budget, call.service)
     offered = 0
     avoided: set[identity.NodeId] = set()
     ended = delivery.Ended(
@@ -207,9 +208,9 @@
             may_repeat = rules.is_repeatable and offered < rules.attempts
             if not may_repeat or not _has_time(origin, call, name):
                 break
-            if not budget.spend(node.budget):
+            if not budget.spend(bucket):
                 break
-        if ended.result.reason in TURNED_AWAY and not budget.spend(node.budget):
+        if ended.result.reason in TURNED_AWAY and not budget.spend(bucket):
             break
         avoided.add(name)
         if rules.slot is not None:
--- a/tests/request/test_origin.py
+++ b/tests/request/test_origin.py
@@ -37,7 +37,7 @@
         draw=lambda: 0.5,
         gate=gate.Gate(slots=1, cold_rate=0.0),
         grantor=grant.start(now=0.0, most_hold_s=4.0),
-        budget=budget.Budget(share=0.0, burst=level, level=level),
+        budget=budget.Allowance(share=0.0, burst=level),
         heat=heat.Heat(at=0.0),
     )
     for name in NAMES:
@@ -163,7 +163,7 @@
     The budget counts by service, so that what other services earn is not for its repeats.
     """
     entry = build_origin(10.0)
-    entry.node.budget.share = 0.1
+    budget.set_share(entry.node.budget, 0.1)
 
     async def try_one(*_: object) -> delivery.Ended:
         return delivery.Ended(result=SHED)
@@ -171,8 +171,9 @@
     monkeypatch.setattr(origin, "_try_one", try_one)
     repeats = 0
     for number in range(1000):
-        budget.earn(entry.node.budget)
-        if number % 10 == 0:
+        service = ORDERS if number % 10 == 0 else identity.ServiceId("lookup")
+        budget.earn(budget.find(entry.node.budget, service))
+        if service == ORDERS:
             tried: list[identity.NodeId] = []
             await origin._try_all(entry, build_call(is_repeatable=True), NO_CALLER, tried)
             repeats += len(tried) - 1
@@ -218,3 +219,13 @@
     await origin.refuse(caller, outcome.refuse(reason), 1.0)
     callers_own = {outcome.Reason.BAD_REQUEST: 400, outcome.Reason.NO_SUCH_SERVICE: 404}
     assert told == [callers_own.get(reason, 503)]
+
+
+async def test_changed_settings_reach_the_repeats_of_all_services() -> None:
+    """Guards against buckets that keep the burst of a smaller mesh or the share of old settings."""
+    repeats = budget.Allowance(share=0.1, burst=8.0)
+    before = budget.find(repeats, ORDERS)
+    budget.divide(repeats, 16.0, 4)
+    budget.set_share(repeats, 0.5)
+    after = budget.find(repeats, identity.ServiceId("lookup"))
+    assert before == after == budget.Budget(share=0.5, burst=2.0, level=2.0)
