--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 import select
+import socket
+import struct
 
 import h11
 from returns import result
@@ -14,6 +16,9 @@
 MAX_HEAD_BYTES = 32_768
 # A read may bring thousands of tiny pieces; other tasks run between so many of them.
 EVENTS_PER_TURN = 32
+# Where ``struct tcp_info`` of Linux holds the milliseconds since data last came.
+LAST_DATA_OFFSET = 52
+LAST_DATA = struct.Struct("=I")
 
 
 class WireFailure(enum.Enum):
@@ -149,6 +154,28 @@
     return not left and not is_closed
 
 
+def find_age(wire: Wire) -> float:
+    """Return how many seconds ago the peer's last bytes came, as far as the kernel says.
+
+    A process that is short of time reads them later.
+
+    :param wire: the connection.
+    """
+    stream = wire.stream
+    if not isinstance(stream, trio.SocketStream):
+        return 0.0
+    size = LAST_DATA_OFFSET + LAST_DATA.size
+    try:
+        info = stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
+    except OSError:
+        # Not TCP, or closed meanwhile.
+        return 0.0
+    if len(info) < size:
+        return 0.0
+    (age_ms,) = LAST_DATA.unpack_from(info, LAST_DATA_OFFSET)
+    return float(age_ms) / 1000
+
+
 async def send(wire: Wire, *events: h11.Event) -> SendResult:
     """Write events in one call of the stream.
 
--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -151,7 +151,7 @@
         draw=random.random,
         gate=gate.Gate(slots=1, cold_rate=0.0),
         grantor=grant.start(now=now(), most_hold_s=grant.choose_hold(place.heartbeat_s)),
-        budget=budget.Budget(share=budget.choose_share(place.retries.ratio)),
+        budget=budget.Allowance(share=budget.choose_share(place.retries.ratio)),
         heat=heat.Heat(at=now()),
     )
     client = store.Client(
@@ -238,7 +238,7 @@
     if call.path.startswith(records.LEDGER_PATH) or call.path == crash.CRASH_PATH:
         return await take_push(entry, keeper, call, caller)
     relay.take_seen(entry.node, call.headers)
-    if not relay.undress_hop(call, call.headers, entry.node.now()):
+    if not relay.undress_hop(call, call.headers):
         refusal = outcome.refuse(outcome.Reason.BAD_REQUEST)
         await origin.refuse(caller, refusal, 0.0)
         return refusal
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -90,8 +90,8 @@
         return outcome.refuse(outcome.Reason.BAD_REQUEST)
     most_s = route.timeout_s if head.budget_s is None else min(route.timeout_s, head.budget_s)
     call.service = service
-    call.deadline_at_s = node.now() + most_s
-    if not pace.can_serve(node.behind, most_s):
+    call.deadline_at_s = call.arrived_at_s + most_s
+    if not pace.can_serve(node.behind, call.deadline_at_s - node.now()):
         return outcome.refuse(outcome.Reason.BEHIND)
     call.rules = exchange.Rules(
         is_repeatable=route.repeat is traffic.Repeat.IDEMPOTENT,
@@ -124,7 +124,7 @@
         await refuse(caller, refusal, RETRY_AFTER_S)
         _record(origin, call, refusal, started_at, [])
         return refusal
-    budget.earn(origin.node.budget)
+    budget.earn(budget.find(origin.node.budget, call.service))
     kept = held.hold_back(caller)
     tried: list[identity.NodeId] = []
     ended, is_gone = await _run_watched(
@@ -187,6 +187,7 @@
     rules = call.rules
     assert rules is not None
     node = origin.node
+    bucket = budget.find(node.budget, call.service)
     offered = 0
     avoided: set[identity.NodeId] = set()
     ended = delivery.Ended(
@@ -209,9 +210,9 @@
             may_repeat = rules.is_repeatable and offered < rules.attempts
             if not may_repeat or not _has_time(origin, call, name):
                 break
-            if not budget.spend(node.budget):
+            if not budget.spend(bucket):
                 break
-        if ended.result.reason in TURNED_AWAY and not budget.spend(node.budget):
+        if ended.result.reason in TURNED_AWAY and not budget.spend(bucket):
             break
         avoided.add(name)
         if rules.slot is not None:
--- a/src/ebonyvalve/request/relay.py
+++ b/src/ebonyvalve/request/relay.py
@@ -85,12 +85,11 @@
     ]
 
 
-def undress_hop(call: exchange.Call, headers: exchange.Headers, now: float) -> bool:
+def undress_hop(call: exchange.Call, headers: exchange.Headers) -> bool:
     """Read what :func:`dress_hop` wrote into a request; return whether it was all there.
 
     :param call: the request, as read.
     :param headers: its headers.
-    :param now: seconds on the node's clock.
     """
     found = {name: value for name, value in headers if name.startswith(PREFIX)}
     service = decoding.read_name(found.get(SERVICE_HEADER, b""))
@@ -101,7 +100,7 @@
         decision.record(log, logging.WARNING, "hop-unreadable", cause=str(found)[:200])
         return False
     call.service = identity.ServiceId(service)
-    call.deadline_at_s = now + left_ms / 1000
+    call.deadline_at_s = call.arrived_at_s + left_ms / 1000
     call.rules = rules
     return True
 
--- a/tests/request/test_relay.py
+++ b/tests/request/test_relay.py
@@ -27,6 +27,7 @@
         headers=[],
         length=0,
         deadline_at_s=5.0,
+        arrived_at_s=3.0,
         is_hop=True,
     )
 
@@ -46,7 +47,7 @@
         kind="r, with a comma",
     )
     read = build_call()
-    assert relay.undress_hop(read, relay.dress_hop(call, 3.0), 3.0)
+    assert relay.undress_hop(read, relay.dress_hop(call, 3.0))
     assert read.rules == call.rules
     assert (read.service, read.deadline_at_s) == ("lookup", pytest.approx(5.0, abs=0.002))
 
@@ -112,7 +113,7 @@
     names = (relay.RULES_HEADER, relay.SERVICE_HEADER, relay.ORIGIN_HEADER, relay.DEADLINE_HEADER)
     for name in names:
         headers = [*relay.dress_hop(fill_call(), 3.0), (name, value)]
-        relay.undress_hop(build_call(), headers, 3.0)
+        relay.undress_hop(build_call(), headers)
 
 
 def fill_call() -> exchange.Call:
@@ -125,7 +126,6 @@
             (relay.ORIGIN_HEADER, b"lookup"),
             (relay.RULES_HEADER, b"1,2,1,300,,r"),
         ],
-        3.0,
     )
     return call
 
