Read a table of the store to a limit, and cover the way between nodes

Pages of a table that always announce another one were read until the memory was full. A table is read to 200 pages (100,000 rows) now; more counts as no answer, with `store-table-too-long` in the log.

--- a/src/ebonyvalve/platform/store.py
+++ b/src/ebonyvalve/platform/store.py
@@ -21,6 +21,8 @@
 CONNECT_TIMEOUT_S = 0.5
 FOLLOW_SLACK_S = 1.5
 PAGE_ROWS = 500
+# Of one table; 100,000 rows.
+MOST_PAGES = 200
 OK = 200
 CONFLICT = 412
 GONE = 410
@@ -117,7 +119,7 @@
 async def _read_all(client: Client, name: table.TableName) -> table.Rows | table.Trouble:
     rows: list[table.Row] = []
     start = ""
-    while True:
+    for _ in range(MOST_PAGES):
         query = {"table": name, "part": "", "limit": PAGE_ROWS}
         if start:
             query["from"] = start
@@ -132,6 +134,8 @@
             return dataclasses.replace(page, rows=tuple(rows), has_more=False)
         # The smallest key above the last one.
         start = page.rows[-1].name.key + "\0"
+    decision.record(log, logging.ERROR, "store-table-too-long", table=name, pages=MOST_PAGES)
+    return table.Trouble.UNKNOWN
 
 
 async def _commit(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -189,6 +189,41 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_table_without_end_is_read_to_a_limit(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Pages that always announce another one were read until the memory was full."""
+    row = b'{"table":"mesh","key":"a","value":"","ver":1}'
+    page = b'{"rows":[' + row + b'],"ver":1,"now_s":1.0,"has_more":true}'
+    asked = 0
+
+    async def respond(_: http.Request) -> http.Reply:
+        nonlocal asked
+        asked += 1
+        return http.Reply(status=200, body=page)
+
+    async def connect(_: str) -> trio.abc.Stream:
+        ours, theirs = trio.testing.memory_stream_pair()
+        nursery.start_soon(functools.partial(http.serve, respond, theirs))
+        return ours
+
+    client = store.Client(address="10.0.0.1:1", connect=connect, now=trio.current_time)
+    calls = store.open_store(client)
+    read: table.Rows | table.Trouble | None = None
+    with trio.CancelScope() as scope:
+
+        async def watch() -> None:
+            while asked <= 2 * store.MOST_PAGES:
+                await trio.lowlevel.checkpoint()
+            scope.cancel()
+
+        nursery.start_soon(watch)
+        read = await calls.read(TABLE)
+    assert read is table.Trouble.UNKNOWN
+    assert asked <= store.MOST_PAGES
+    nursery.cancel_scope.cancel()
+
+
 def build_rows(version: int) -> bytes:
     body = b'{"rows":[],"ver":%d,"now_s":1.0}' % version
     return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
--- a/tests/request/test_endless.py
+++ b/tests/request/test_endless.py
@@ -9,6 +9,8 @@
 import trio.testing
 
 from ebonyvalve.connection import pool, wire
+from ebonyvalve.process import identity
+from ebonyvalve.process import node as node_module
 from ebonyvalve.request import delivery, dispatch, origin, outcome
 from tests.request import test_refusals
 
@@ -226,3 +228,25 @@
                 break
         nursery.cancel_scope.cancel()
     assert max(most, pieces) <= 2 * wire.EVENTS_PER_TURN
+
+
+@pytest.mark.parametrize("unit", [CHUNK, TINY_CHUNK])
+async def test_endless_refusal_of_a_node_is_read_to_a_limit(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock, unit: bytes
+) -> None:
+    """The way between nodes has the same limits as that to a target."""
+    first = b"HTTP/1.1 503 No\r\nEbonyvalve-Refused: not-run:queue-full\r\n" + CHUNKED
+    target = Target(first=first, unit=fill(unit), pause_s=FLOOD_PAUSE_S, nursery=nursery)
+    entry = test_refusals.build_entry(test_refusals.Target(nursery=nursery))
+    entry.peers = pool.Pool(connect=target.connect, now=trio.current_time)
+    name = identity.NodeId("other")
+    entry.node.members[name] = test_refusals.build_member(entry, "other")
+    view = node_module.read_view(entry.node, name)
+    call = test_refusals.build_order("r1")
+    started_at = trio.current_time()
+    ended = await origin._hop(entry, call, test_refusals.build_caller(), name, view)
+    assert ended.result == outcome.refuse(outcome.Reason.QUEUE_FULL)
+    assert trio.current_time() - started_at <= SKIP_S + SLACK_S
+    assert target.sent <= STRAY_BYTES + SLACK_BYTES
+    with trio.fail_after(DEADLINE_S):
+        await target.is_closed.wait()
--- a/tests/request/test_refusals.py
+++ b/tests/request/test_refusals.py
@@ -128,6 +128,18 @@
     return entry
 
 
+def build_member(entry: origin.Origin, name: str) -> member.Member:
+    return member.Member(
+        node=identity.NodeId(name),
+        address=identity.Address(f"{name}:1"),
+        zone=entry.node.place.zone,
+        service=test_origin.ORDERS,
+        lifetime=identity.Lifetime(f"{name}@1"),
+        slots=4,
+        state=member.TargetState.READY,
+    )
+
+
 def build_order(name: str) -> exchange.Call:
     call = test_origin.build_call(is_repeatable=False)
     call.request_id = name
@@ -198,15 +210,7 @@
     node = entry.node
     entry.peers = pool.Pool(connect=other.connect, now=trio.current_time)
     for name in ("me", "other"):
-        node.members[identity.NodeId(name)] = member.Member(
-            node=identity.NodeId(name),
-            address=identity.Address(f"{name}:1"),
-            zone=node.place.zone,
-            service=test_origin.ORDERS,
-            lifetime=identity.Lifetime(f"{name}@1"),
-            slots=4,
-            state=member.TargetState.READY,
-        )
+        node.members[identity.NodeId(name)] = build_member(entry, name)
     picks = iter(["me", "other"])
     monkeypatch.setattr(origin, "_pick", lambda *_, **__: identity.NodeId(next(picks)))
     await ask(entry, "r1")
@@ -253,15 +257,7 @@
     entry = build_entry(Target(nursery=nursery))
     entry.peers = pool.Pool(connect=other.connect, now=trio.current_time)
     name = identity.NodeId("other")
-    entry.node.members[name] = member.Member(
-        node=name,
-        address=identity.Address("other:1"),
-        zone=entry.node.place.zone,
-        service=test_origin.ORDERS,
-        lifetime=identity.Lifetime("other@1"),
-        slots=4,
-        state=member.TargetState.READY,
-    )
+    entry.node.members[name] = build_member(entry, "other")
     view = node_module.read_view(entry.node, name)
     ended = await origin._hop(entry, build_order("r1"), build_caller(), name, view)
     assert ended.result.verdict is not outcome.Verdict.NOT_RUN
