Bound the patience of a node that is behind with pings to others

The time that a late process adds to a ping grew to 8 s with its lateness, longer than requests have; a frozen node was not found and no connection retired meanwhile. It adds 1.5 s at most now. The line peer-lost no longer names one time-out, as the connection and the answer have one each.

Evidence: test_process_that_is_far_behind_finds_a_frozen_node, red before.

--- a/src/ebonyvalve/request/reachability.py
+++ b/src/ebonyvalve/request/reachability.py
@@ -98,7 +98,7 @@
     is sending, and a frozen node accepts connections at once.
     """
     # Answers that have come are read late when this process is behind.
-    timeout_s = PING_TIMEOUT_S + pace.expect_own(watch.node.behind)
+    timeout_s = PING_TIMEOUT_S + min(PATIENCE_S, pace.expect_own(watch.node.behind))
     stream: trio.abc.Stream | None = None
     with trio.move_on_after(timeout_s):
         try:
@@ -150,7 +150,7 @@
             choice.note_alive(node_module.read_view(watch.node, name))
             decision.record(log, logging.INFO, "peer-regained", peer=name)
         return
-    lost_for_s = note_lost(watch, name, f"no answer within {PING_TIMEOUT_S} s")
+    lost_for_s = note_lost(watch, name, "no answer to a ping")
     now = watch.node.now()
     pool.abandon(
         watch.peers,
--- a/tests/request/test_reachability.py
+++ b/tests/request/test_reachability.py
@@ -127,6 +127,19 @@
     assert not watch.lost
 
 
+async def test_process_that_is_far_behind_finds_a_frozen_node(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Patience for its own lateness must not outlast the time that requests have."""
+    watch = build_watch(nursery, Peer(is_frozen=True))
+    watch.node.behind.late_s = 1.0
+    await send(watch)
+    await trio.sleep(1.5)
+    with trio.move_on_after(reachability.PING_TIMEOUT_S + reachability.PATIENCE_S + 0.01):
+        await reachability.look(watch)
+    assert NAME in watch.lost
+
+
 async def test_node_that_wakes_is_used_again(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
