Free a target's slot when its answer begins

Cause: the gate kept a request's slot until the whole answer had been passed on. The target has done its work when the answer begins (the record: run from 15.341 to 15.420 s, the answer still on its way at 16.118 s); how long the answer takes is up to the links.

Test: test_slot_is_free_while_an_answer_is_on_its_way, red before ("assert 1.1 == 0.2").

--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -80,6 +80,15 @@
     owner: identity.NodeId | None = None
 
 
+@dataclasses.dataclass(kw_only=True)
+class Stay:
+    """A request's use of one of the target's slots, from ``began_at`` on the node's clock."""
+
+    ticket: gate.Ticket
+    began_at: float
+    is_over: bool = False
+
+
 async def run(delivery: Delivery, call: exchange.Call, caller: exchange.Caller) -> Ended:
     """Run a request at the target beside this node.
 
@@ -116,23 +125,26 @@
         )
     if admitted.verdict is gate.Verdict.WAIT and not await _wait(delivery, admitted.ticket):
         return Ended(result=outcome.refuse(outcome.Reason.DEADLINE), retry_after_s=node.gate.work_s)
-    sent_at = node.now()
-    ended = attempt.Result()
+    stay = Stay(ticket=admitted.ticket, began_at=node.now())
     try:
         # The target may have left, or the keys moved, while the request waited.
         refusal = await _find_refusal(delivery, call, rules, may_wait=False)
         if refusal is not None:
             return refusal
-        return await _attempt(delivery, call, caller, ended)
+        return await _attempt(delivery, call, caller, stay)
     finally:
-        head_at = ended.attempt.head_at_s
-        is_work = head_at is not None and ended.attempt.step is not dispatch.Step.WITHHELD
-        gate.release(
-            node.gate,
-            admitted.ticket,
-            work_s=head_at - sent_at if is_work and head_at is not None else None,
-        )
-        wake(delivery)
+        _end_stay(delivery, stay, is_answered=False)
+
+
+def _end_stay(delivery: Delivery, stay: Stay, *, is_answered: bool) -> None:
+    """Free a request's slot at the target, once, and let the next one run."""
+    if stay.is_over:
+        return
+    stay.is_over = True
+    node = delivery.node
+    work_s = node.now() - stay.began_at if is_answered else None
+    gate.release(node.gate, stay.ticket, work_s=work_s)
+    wake(delivery)
 
 
 async def _find_refusal(
@@ -258,11 +270,12 @@
 
 
 async def _attempt(
-    delivery: Delivery, call: exchange.Call, caller: exchange.Caller, ended: attempt.Result
+    delivery: Delivery, call: exchange.Call, caller: exchange.Caller, stay: Stay
 ) -> Ended:
     node, dialect, target = delivery.node, delivery.dialect, delivery.node.target
     assert target is not None
     judged = [Judgement.ANSWER]
+    ended = attempt.Result()
 
     def relay(status: int, headers: exchange.Headers) -> exchange.Headers | None:
         judged[0] = dialect.judge(status, headers)
@@ -270,6 +283,8 @@
             judged[0] = Judgement.SPOILED
         if judged[0] is not Judgement.ANSWER:
             return None
+        # The target has done its work. How long the answer takes is up to the links.
+        _end_stay(delivery, stay, is_answered=True)
         return dispatch.filter_headers(headers)
 
     left_s = max(0.0, call.deadline_at_s - node.now())
--- a/tests/request/test_delivery.py
+++ b/tests/request/test_delivery.py
@@ -151,3 +151,61 @@
     await trio.sleep(1.25)
     await run(state, call)
     assert told == [pytest.approx(0.75)]
+
+
+async def test_slot_is_free_while_an_answer_is_on_its_way(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Targets idled while large answers waited for narrow links, and requests were refused.
+
+    A target has done its work when its answer begins.
+    """
+    state = build_delivery()
+    node_module.pulse(state.node)
+    assert state.node.gate.slots == 1
+
+    async def answer(stream: trio.abc.Stream) -> None:
+        while await stream.receive_some():
+            await trio.sleep(0.1)
+            await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+
+    async def connect(_: str) -> trio.abc.Stream:
+        ours, theirs = trio.testing.memory_stream_pair()
+        nursery.start_soon(answer, theirs)
+        return ours
+
+    async def take(*_: object) -> bool:
+        return True
+
+    async def take_slowly(*_: object) -> bool:
+        await trio.sleep(1.0)
+        return True
+
+    state.pool.connect = connect
+    ended_at: list[float] = []
+
+    async def ask(write: collections.abc.Callable[..., collections.abc.Awaitable[bool]]) -> None:
+        call = build_call(2.0)
+        assert call.rules is not None
+        call.rules = dataclasses.replace(call.rules, slot=None)
+        call.headers = [(b"host", b"x")]
+        caller = dataclasses.replace(
+            test_origin.NO_CALLER,
+            reply=take,
+            write=write,
+            finish=take,
+            find_gone=lambda: False,
+        )
+        ended = await delivery.run(state, call, caller)
+        assert ended.result.verdict is outcome.Verdict.ANSWERED
+        ended_at.append(trio.current_time())
+
+    started_at = trio.current_time()
+    async with trio.open_nursery() as requests:
+        requests.start_soon(ask, take_slowly)
+        await trio.sleep(0.01)
+        requests.start_soon(ask, take)
+    first_at, last_at = (at - started_at for at in ended_at)
+    assert first_at == pytest.approx(0.2)
+    assert last_at == pytest.approx(1.1)
+    assert state.node.gate.work_s == pytest.approx(0.1)
