Let large answers wait for room on the link

Cause: nothing bounded what waits for a link. Pings, connections and small answers waited behind that, nodes were taken for lost, and what was given up was asked for again, which loaded the links more.

Change: the node counts what it gives to its link at the rate of its settings (limits.link_mbps) and knows the usual size of each route's answers. A large one is asked for only while less than 0.2 s waits; else the request waits at the gate, behind which small ones may pass, or is refused at once if its turn comes too late. The time that answers wait goes into the work time that other nodes are told.

--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -20,7 +20,7 @@
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process import place as place_module
 from ebonyvalve.process.keyspace import grant, presence, records, steward, tenure
-from ebonyvalve.process.load import gate, heat
+from ebonyvalve.process.load import gate, heat, link
 from ebonyvalve.process.observation import output
 from ebonyvalve.request import (
     attempt,
@@ -149,7 +149,7 @@
         wakeups=clock,
         now=now,
         draw=random.random,
-        gate=gate.Gate(slots=1, cold_rate=0.0),
+        gate=gate.Gate(slots=1, cold_rate=0.0, uplink=link.Link(rate=place.link_rate)),
         grantor=grant.start(now=now(), most_hold_s=grant.choose_hold(place.heartbeat_s)),
         budget=budget.Allowance(share=budget.choose_share(place.retries.ratio)),
         heat=heat.Heat(at=now()),
--- a/src/ebonyvalve/platform/reload.py
+++ b/src/ebonyvalve/platform/reload.py
@@ -75,6 +75,7 @@
     if waiting:
         decision.record(log, logging.WARNING, "settings-wait-for-restart", fields=",".join(waiting))
     node.place = dataclasses.replace(new, **{name: getattr(old, name) for name in FIXED})
+    node.gate.uplink.rate = node.place.link_rate
     budget.set_share(node.budget, budget.choose_share(node.place.retries.ratio))
     budget.divide(node.budget, node.place.retries.slack, len(node.members))
     if client.address != node.place.store_address:
--- a/src/ebonyvalve/platform/settings.py
+++ b/src/ebonyvalve/platform/settings.py
@@ -18,7 +18,9 @@
     "retry_window_s",
     "retry_slack",
 )
+BYTES_PER_MBIT = 125_000
 Heartbeat = typing.Annotated[float, msgspec.Meta(gt=0, le=3600)]
+Mbps = typing.Annotated[float, msgspec.Meta(ge=0, le=1e7)]
 
 
 class Listen(msgspec.Struct, kw_only=True):
@@ -36,6 +38,12 @@
     address: str
 
 
+class Limits(msgspec.Struct, kw_only=True):
+    """What the VM bears."""
+
+    link_mbps: Mbps = 0.0
+
+
 class Document(msgspec.Struct, kw_only=True):
     """The settings that are used. ``backend`` is the service of the target on this VM."""
 
@@ -45,6 +53,7 @@
     app_addr: str
     listen: Listen
     platform: Platform
+    limits: Limits = msgspec.field(default_factory=Limits)
     heartbeat_s: Heartbeat = 1.0
     bounds: list[str] = []
 
@@ -78,6 +87,7 @@
             window_s=bounds.get("retry_window_s", 10.0),
             slack=bounds.get("retry_slack", 60.0),
         ),
+        link_rate=wire.limits.link_mbps * BYTES_PER_MBIT,
     )
 
 
--- a/src/ebonyvalve/process/load/gate.py
+++ b/src/ebonyvalve/process/load/gate.py
@@ -1,7 +1,8 @@
 """Admission to the target beside this node, which is the only way to it.
 
-The node counts what runs exactly, so that a target never gets more than its slots, and a cold one
-no more requests a second than it bears. Requests beyond that wait in a short queue, the urgent
+The node counts what runs exactly, so that a target never gets more than its slots, a cold one no
+more requests a second than it bears, and the link no more large answers than it can carry soon.
+Requests beyond that wait in a short queue, the urgent
 ones first, or are refused at once when they can't be served in time.
 """
 
@@ -12,11 +13,14 @@
 import math
 import typing
 
+from ebonyvalve.process.load import link
+
 Ticket = typing.NewType("Ticket", int)
 
 # The usual work time, until answers have shown it.
 FIRST_WORK_S = 0.1
 WORK_WEIGHT = 0.1
+SIZE_WEIGHT = 0.1
 # Neighbours on the target's machine triple its work time for parts of a second at a time.
 USUAL_WEIGHT = 0.03
 # A request is refused when less than this part of the usual work time would be left for it.
@@ -65,7 +69,8 @@
 class Kind:
     """What is known of requests of one kind: their urgency, work time, and how often they come.
 
-    ``arrivals`` decays over ``RATE_MEMORY_S`` and is as of ``at``.
+    ``arrivals`` decays over ``RATE_MEMORY_S`` and is as of ``at``. ``answer_bytes`` is the usual
+    size of their answers.
     """
 
     priority: int
@@ -73,6 +78,7 @@
     work_s: float
     arrivals: float = 0.0
     at: float = 0.0
+    answer_bytes: float = 0.0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -96,6 +102,7 @@
     # Starts of the last second, kept at all times: a target may have turned cold unnoticed.
     starts: collections.deque[float] = dataclasses.field(default_factory=collections.deque)
     last_ticket: int = 0
+    uplink: link.Link = dataclasses.field(default_factory=link.Link)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -118,14 +125,15 @@
     wait_s = predict_wait(gate, demand, now)
     _note_arrival(gate, demand, now)
     work_s = expect_work(gate, demand.kind)
-    enough_s = demand.deadline_at - now - LEAST_WORK_SHARE * work_s
-    most_s = max(0.0, demand.objective_s - work_s)
+    transfer_s = expect_transfer(gate, demand.kind, now)
+    enough_s = demand.deadline_at - now - LEAST_WORK_SHARE * work_s - transfer_s
+    most_s = max(0.0, demand.objective_s - work_s - transfer_s)
     if wait_s > min(enough_s, most_s) or enough_s <= 0:
         excess_s = max(MIN_RETRY_AFTER_S, wait_s - most_s / 2)
         return Admission(verdict=Verdict.REFUSE, retry_after_s=excess_s, wait_s=wait_s)
     gate.last_ticket += 1
     ticket = Ticket(gate.last_ticket)
-    if not gate.waiting and _find_room(gate, now):
+    if _find_room(gate, demand.kind, now) and not _must_queue(gate, demand.kind):
         _start(gate, ticket, demand.kind, now)
         return Admission(verdict=Verdict.RUN, ticket=ticket)
     heapq.heappush(gate.waiting, (demand.priority, _find_due(demand, now), ticket))
@@ -142,6 +150,10 @@
     """
     place = (demand.priority, _find_due(demand, now))
     ahead = [ticket for *other, ticket in gate.waiting if tuple(other) <= place]
+    size = expect_size(gate, demand.kind)
+    if not link.is_large(gate.uplink, size):
+        # Those that wait for the link leave the slots to others.
+        ahead = [one for one in ahead if _has_link(gate, gate.demands[one].kind, now)]
     free = gate.slots - len(gate.running)
     wait_s = 0.0
     if free <= len(ahead):
@@ -154,6 +166,11 @@
         _forget_starts(gate, now)
         over = len(ahead) + 1 + len(gate.starts) - gate.cold_rate * RATE_WINDOW_S
         wait_s = max(wait_s, over / gate.cold_rate)
+    if link.is_large(gate.uplink, size):
+        # Its turn comes when the link has carried most of what is ahead of it.
+        due = sum(expect_size(gate, gate.demands[ticket].kind) for ticket in ahead)
+        backlog_s = link.predict_backlog(gate.uplink, _find_promised(gate) + due, now)
+        wait_s = max(wait_s, backlog_s - link.MOST_BACKLOG_S)
     return wait_s
 
 
@@ -167,6 +184,39 @@
     return gate.work_s if known is None else known.work_s
 
 
+def expect_size(gate: Gate, kind: str) -> float:
+    """Return how many bytes the answer to a request usually has.
+
+    :param gate: the state.
+    :param kind: its kind.
+    """
+    known = gate.kinds.get(kind)
+    return 0.0 if known is None else known.answer_bytes
+
+
+def expect_transfer(gate: Gate, kind: str, now: float) -> float:
+    """Return how many seconds the answer to a request takes to leave, once it has been made.
+
+    :param gate: the state.
+    :param kind: its kind.
+    :param now: seconds on the node's clock.
+    """
+    ahead_s = min(link.MOST_BACKLOG_S, link.predict_backlog(gate.uplink, 0.0, now))
+    return ahead_s + link.expect_transfer(gate.uplink, expect_size(gate, kind))
+
+
+def _find_promised(gate: Gate) -> float:
+    return sum(expect_size(gate, kind) for kind in gate.running.values())
+
+
+def _must_queue(gate: Gate, kind: str) -> bool:
+    """Return whether a request that has room must let others go first.
+
+    Those that wait while there is room wait for the link, which small answers don't.
+    """
+    return bool(gate.waiting) and link.is_large(gate.uplink, expect_size(gate, kind))
+
+
 def _note_arrival(gate: Gate, demand: Demand, now: float) -> None:
     known = gate.kinds.get(demand.kind)
     if known is None:
@@ -204,7 +254,7 @@
 
 
 def release(gate: Gate, ticket: Ticket, *, work_s: float | None) -> None:
-    """Note the end of a request that ran.
+    """Note that the target has done its work on a request, or that it was ended.
 
     :param gate: the state.
     :param ticket: the request.
@@ -221,6 +271,30 @@
         gate.usual_work_s += weight * (work_s - gate.usual_work_s)
 
 
+def note_answer(gate: Gate, kind: str, size: int | None, now: float) -> None:
+    """Note that an answer goes out over the node's link.
+
+    :param gate: the state.
+    :param kind: the kind of the request.
+    :param size: bytes of the answer; ``None`` if it does not announce them.
+    :param now: seconds on the node's clock.
+    """
+    link.note_sent(gate.uplink, expect_size(gate, kind) if size is None else size, now)
+
+
+def note_size(gate: Gate, kind: str, size: int) -> None:
+    """Note how large an answer was.
+
+    :param gate: the state.
+    :param kind: the kind of the request.
+    :param size: its bytes.
+    """
+    known = gate.kinds.get(kind)
+    if known is not None:
+        weight = SIZE_WEIGHT if known.answer_bytes else 1.0
+        known.answer_bytes += weight * (size - known.answer_bytes)
+
+
 def forget_work(gate: Gate) -> None:
     """Expect the usual work time again, after the target has been replaced.
 
@@ -249,13 +323,18 @@
     """
     run: list[Ticket] = []
     late: list[Ticket] = []
+    # Others need not wait behind those that wait for the link.
+    held: list[tuple[int, float, Ticket]] = []
     while gate.waiting:
         *_, ticket = gate.waiting[0]
         demand = gate.demands[ticket]
         least_s = LEAST_WORK_SHARE * expect_work(gate, demand.kind)
         is_late = now + least_s > demand.deadline_at
-        if not is_late and not _find_room(gate, now):
+        if not is_late and not _find_slot(gate, now):
             break
+        if not is_late and not _find_room(gate, demand.kind, now):
+            held.append(heapq.heappop(gate.waiting))
+            continue
         heapq.heappop(gate.waiting)
         del gate.demands[ticket]
         if is_late:
@@ -263,6 +342,8 @@
             continue
         _start(gate, ticket, demand.kind, now)
         run.append(ticket)
+    for entry in held:
+        heapq.heappush(gate.waiting, entry)
     again_at = None
     if gate.waiting and len(gate.running) < gate.slots and gate.starts:
         again_at = gate.starts[0] + RATE_WINDOW_S
@@ -287,7 +368,15 @@
     return now < gate.cold_until
 
 
-def _find_room(gate: Gate, now: float) -> bool:
+def _find_room(gate: Gate, kind: str, now: float) -> bool:
+    return _has_link(gate, kind, now) and _find_slot(gate, now)
+
+
+def _has_link(gate: Gate, kind: str, now: float) -> bool:
+    return link.has_room(gate.uplink, expect_size(gate, kind), _find_promised(gate), now)
+
+
+def _find_slot(gate: Gate, now: float) -> bool:
     if len(gate.running) >= gate.slots:
         return False
     if not is_cold(gate, now) or gate.cold_rate <= 0:
--- a/src/ebonyvalve/process/node.py
+++ b/src/ebonyvalve/process/node.py
@@ -8,7 +8,7 @@
 
 from ebonyvalve.process import budget, decision, decoding, identity, member, place, timer
 from ebonyvalve.process.keyspace import grant, lease, ledger
-from ebonyvalve.process.load import choice, gate, heat, pace, policy
+from ebonyvalve.process.load import choice, gate, heat, link, pace, policy
 from ebonyvalve.process.observation import tally
 from ebonyvalve.process.store import table
 
@@ -238,10 +238,11 @@
     """
     rate = heat.read_total(node.heat, node.now())
     request_load = node.gate.usual_work_s / node.gate.slots
+    backlog_s = link.predict_backlog(node.gate.uplink, 0.0, node.now())
     return choice.Report(
         busy=len(node.gate.running) + len(node.gate.waiting),
         slots=node.gate.slots,
-        work_s=node.gate.work_s,
+        work_s=node.gate.work_s + backlog_s,
         offered=rate * request_load,
         request_load=request_load,
     )
@@ -256,6 +257,7 @@
     return {
         "running": len(node.gate.running),
         "queue_length": len(node.gate.waiting),
+        "link_backlog_seconds": link.predict_backlog(node.gate.uplink, 0.0, node.now()),
         "work_seconds": measured.work_s,
         "late_seconds": node.behind.late_s,
         "offered_load": measured.offered,
--- a/src/ebonyvalve/process/place.py
+++ b/src/ebonyvalve/process/place.py
@@ -36,3 +36,5 @@
     drain_s: float
     grace_s: float
     retries: RetryAllowance
+    # Bytes a second that the VM's link carries; 0 if that is not known.
+    link_rate: float = 0.0
--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -7,8 +7,8 @@
 
 import trio
 
-from ebonyvalve.connection import pool
-from ebonyvalve.process import identity, timer
+from ebonyvalve.connection import pool, wire
+from ebonyvalve.process import decoding, identity, timer
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant, ledger
 from ebonyvalve.process.load import gate, heat, pace
@@ -85,6 +85,7 @@
     """A request's use of one of the target's slots, from ``began_at`` on the node's clock."""
 
     ticket: gate.Ticket
+    kind: str
     began_at: float
     is_over: bool = False
 
@@ -125,7 +126,7 @@
         )
     if admitted.verdict is gate.Verdict.WAIT and not await _wait(delivery, admitted.ticket):
         return Ended(result=outcome.refuse(outcome.Reason.DEADLINE), retry_after_s=node.gate.work_s)
-    stay = Stay(ticket=admitted.ticket, began_at=node.now())
+    stay = Stay(ticket=admitted.ticket, kind=rules.kind, began_at=node.now())
     try:
         # The target may have left, or the keys moved, while the request waited.
         refusal = await _find_refusal(delivery, call, rules, may_wait=False)
@@ -284,6 +285,8 @@
         if judged[0] is not Judgement.ANSWER:
             return None
         # The target has done its work. How long the answer takes is up to the links.
+        size = wire.find_header(headers, b"content-length") or b""
+        gate.note_answer(node.gate, stay.kind, decoding.read_count(size), node.now())
         _end_stay(delivery, stay, is_answered=True)
         return dispatch.filter_headers(headers)
 
@@ -298,6 +301,8 @@
     )
     with _protect_order(delivery, call):
         await attempt.run(way, call, caller, node.now, ended)
+    if ended.attempt.step is dispatch.Step.RELAYED:
+        gate.note_size(node.gate, stay.kind, ended.attempt.body_bytes)
     if ended.failure is pool.PoolFailure.REFUSED:
         crash.note_refused(delivery.crashes)
         return Ended(result=outcome.refuse(outcome.Reason.NO_TARGET), retry_after_s=0.3)
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -11,7 +11,7 @@
 from ebonyvalve.process import budget, decision, identity
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import ledger
-from ebonyvalve.process.load import choice, pace
+from ebonyvalve.process.load import choice, link, pace
 from ebonyvalve.process.observation import tally
 from ebonyvalve.request import attempt, delivery, dispatch, exchange, held, outcome, relay
 from ebonyvalve.version import traffic
@@ -333,6 +333,8 @@
     if refused:
         return refused[0]
     concluded = attempt.conclude(ended)
+    # Answers to this node's own callers share its link with those of its target.
+    link.note_sent(node.gate.uplink, ended.attempt.body_bytes, node.now())
     if attempt.shows_loss(ended):
         choice.note_failure(view, node.now())
     return delivery.Ended(
