Let odd rows and announcements cost themselves on the product's interface too

One announcement of another writer among the rows "node/" ended each node that claimed a term or gathered its members: InvariantError for what is no JSON, RecursionError for a deeply nested row. A target that announced no slots ended its node by the invariant of limit.create. Rows of the configuration's head and history, and the answers that the commands read, raised RecursionError.

They are read by decoding now. A member that can't be read names no node, which is what its absence would mean, and one that names another node than its row is none, since a claim would take that node for ended. The cell's own row still ends the process when it can't be read.

Failed before, tried on: cell.decode_node raised RecursionError and InvariantError, publish._parse_entry RecursionError; slots of 0 were taken.

--- a/src/ebonyvalve/platform/tool.py
+++ b/src/ebonyvalve/platform/tool.py
@@ -7,17 +7,19 @@
 import collections.abc
 import pathlib
 import sys
+import typing
 import urllib.parse
 
 import defopt
-import msgspec
 from returns import result
 import trio
 
 from ebonyvalve.platform import configuration, sockets
-from ebonyvalve.process import http, identity, member, survey
+from ebonyvalve.process import decoding, http, identity, member, survey
 from ebonyvalve.version import outlook, traffic
 
+Form = typing.TypeVar("Form")
+
 DONE = 0
 REFUSED = 1
 UNANSWERED = 2
@@ -135,7 +137,10 @@
     body = ask(node, f"/explain?{urllib.parse.urlencode(asked)}")
     if body is None:
         return UNANSWERED
-    for line in msgspec.json.decode(body, type=list[str]):
+    lines = show_fault(node, decoding.decode(body, list[str]))
+    if lines is None:
+        return UNANSWERED
+    for line in lines:
         print(line)
     return DONE
 
@@ -181,11 +186,18 @@
     body = ask(node, "/status")
     if body is None:
         return None
-    try:
-        return survey.decode(body)
-    except msgspec.DecodeError as exc:
-        print(f"{node}: its answer can't be read: {exc}", file=sys.stderr)
-        return None
+    return show_fault(node, survey.decode(body))
+
+
+def show_fault(node: str, decoded: result.Result[Form, str]) -> Form | None:
+    """Return what a node has answered, or ``None``, after saying why, if it can't be read.
+
+    :param node: its ready address.
+    :param decoded: the answer.
+    """
+    if not isinstance(decoded, result.Success):
+        print(f"{node}: its answer can't be read: {decoded.failure()}", file=sys.stderr)
+    return decoded.value_or(None)
 
 
 def ask(node: str, path: str) -> bytes | None:
--- a/src/ebonyvalve/process/cell.py
+++ b/src/ebonyvalve/process/cell.py
@@ -3,13 +3,17 @@
 import collections.abc
 import dataclasses
 import enum
+import logging
 import math
 import typing
 
 import msgspec
+from returns import result
 
 from ebonyvalve import errors
-from ebonyvalve.process import assignment, identity, lease, message
+from ebonyvalve.process import assignment, decision, decoding, identity, lease, message, platform
+
+log = logging.getLogger(__name__)
 
 PAGE_PARTITIONS = 64
 MAX_STANDBYS = 2
@@ -250,19 +254,42 @@
     return _decode(value, CellRow)
 
 
-def decode_node(value: bytes) -> message.Member:
-    """Return a node's announcement.
+def read_members(rows: collections.abc.Mapping[str, platform.Row]) -> list[message.Member]:
+    """Return the nodes that have announced themselves; a row that can't be read names none.
 
-    :param value: the row's value.
+    :param rows: the rows by name.
+    """
+    members = []
+    for name, row in rows.items():
+        decoded = decoding.decode(row.value, message.Member, find_member_fault)
+        fault = "" if isinstance(decoded, result.Success) else decoded.failure()
+        # An entry that names another node would tell that this one has ended.
+        if not fault and name_node_row(decoded.unwrap().node) != name:
+            fault = "the announcement is of another node"
+        if fault:
+            decision.record(log, logging.ERROR, "row-unreadable", row=name, cause=fault)
+        else:
+            members.append(decoded.unwrap())
+    return members
+
+
+def find_member_fault(member: message.Member) -> str:
+    """Return what is wrong with a node's announcement, or an empty text.
+
+    :param member: the announcement.
     """
-    return _decode(value, message.Member)
+    for address in (member.peer_address, member.hop_address):
+        if not decoding.is_address(address):
+            return f"address {address!r} is not host:port"
+    return "" if 0 <= member.slots <= decoding.MOST_SLOTS else f"{member.slots} slots"
 
 
 def _decode(value: bytes, kind: type[T]) -> T:
-    try:
-        return msgspec.json.decode(value, type=kind)
-    except msgspec.MsgspecError as error:
-        raise errors.InvariantError(f"a {kind.__name__} cannot be decoded: {error}") from error
+    decoded = decoding.decode(value, kind)
+    if not isinstance(decoded, result.Success):
+        raise errors.InvariantError(f"a {kind.__name__} cannot be decoded: {decoded.failure()}")
+    row: T = decoded.unwrap()
+    return row
 
 
 # Consent and claims
--- a/src/ebonyvalve/process/monitor.py
+++ b/src/ebonyvalve/process/monitor.py
@@ -10,6 +10,7 @@
 
 from ebonyvalve.process import (
     decision,
+    decoding,
     http,
     identity,
     limit,
@@ -70,14 +71,27 @@
     """
     if (request.method, request.path) != ("PUT", "/announce"):
         return http.Reply(status=404, body=b'{"error": "use PUT /announce"}')
-    try:
-        entry = msgspec.json.decode(request.body, type=target.Announcement)
-    except msgspec.MsgspecError as exc:
-        return http.Reply(status=400, body=msgspec.json.encode({"error": str(exc)}))
-    await take_announcement(monitor, entry)
+    decoded = read_announcement(request.body)
+    if not isinstance(decoded, result.Success):
+        return http.Reply(status=400, body=msgspec.json.encode({"error": decoded.failure()}))
+    await take_announcement(monitor, decoded.unwrap())
     return http.Reply(status=200, body=b"{}")
 
 
+def read_announcement(body: bytes) -> result.Result[target.Announcement, str]:
+    """Return what a target says of itself, or what is wrong with it.
+
+    :param body: the announcement.
+    """
+
+    def find_fault(entry: target.Announcement) -> str:
+        if decoding.is_address(entry.address):
+            return ""
+        return f"address {entry.address!r} is not host:port"
+
+    return decoding.decode(body, target.Announcement, find_fault)
+
+
 async def take_announcement(monitor: Monitor, entry: target.Announcement) -> None:
     """Take in what a target says of itself.
 
--- a/src/ebonyvalve/process/ownership.py
+++ b/src/ebonyvalve/process/ownership.py
@@ -13,6 +13,7 @@
     assignment,
     cell,
     decision,
+    decoding,
     identity,
     lease,
     message,
@@ -435,11 +436,12 @@
     row = (await state.ports.table.read(HEAD_ROW)).value_or(None)
     if row is None or row.version == 0:
         return None
-    try:
-        return msgspec.json.decode(row.value, type=Head)
-    except msgspec.MsgspecError as error:
-        decision.record(log, logging.ERROR, "head-unreadable", cause=error)
+    decoded = decoding.decode(row.value, Head)
+    if not isinstance(decoded, result.Success):
+        decision.record(log, logging.ERROR, "head-unreadable", cause=decoded.failure())
         return None
+    head: Head = decoded.unwrap()
+    return head
 
 
 async def _fetch_body(state: State, head: Head) -> None:
@@ -717,7 +719,7 @@
             await _claim(state, row, version, read_at, {})
     elif _now(state) - since > ORPHAN_S:
         rows = (await state.ports.table.scan("node/")).value_or({})
-        members = [cell.decode_node(found.value) for found in rows.values()]
+        members = cell.read_members(rows)
         announced = {member.node: member.incarnation for member in members}
         await _claim(state, row, version, read_at, announced)
 
@@ -846,7 +848,7 @@
     duty.rules = dataclasses.replace(rules, config_version=state.node.config_version)
     duty.is_loaded = True
     duty.wanted = duty.rules.row.standbys
-    members = [cell.decode_node(row.value) for row in nodes.values()]
+    members = cell.read_members(nodes)
     addresses = {member.node: member.peer_address for member in members}
     addresses |= {node: member.peer_address for node, member in state.node.members.items()}
     for node, address in addresses.items():
--- a/src/ebonyvalve/process/survey.py
+++ b/src/ebonyvalve/process/survey.py
@@ -1,8 +1,9 @@
 """What one node believes at one moment, for operators who ask it."""
 
 import msgspec
+from returns import result
 
-from ebonyvalve.process import identity, member
+from ebonyvalve.process import decoding, identity, member
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import ledger
 
@@ -107,10 +108,9 @@
     return msgspec.json.encode(survey)
 
 
-def decode(body: bytes) -> Survey:
-    """Return the survey that a node has sent.
+def decode(body: bytes) -> result.Result[Survey, str]:
+    """Return the survey that a node has sent, or what is wrong with it.
 
     :param body: the bytes.
-    :raises msgspec.DecodeError: if they are no survey.
     """
-    return msgspec.json.decode(body, type=Survey)
+    return decoding.decode(body, Survey)
--- a/src/ebonyvalve/process/target.py
+++ b/src/ebonyvalve/process/target.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ebonyvalve.process import identity
+from ebonyvalve.process import decoding, identity
 
 # A probe costs about 6 ms (docs/design.md, section 1), so one is made only when replies stop.
 STALL_S = 0.25
@@ -32,7 +32,7 @@
 
     address: identity.Address
     incarnation: identity.Incarnation
-    slots: int | None = None
+    slots: decoding.Slots | None = None
     is_cold: bool = True
 
 
--- a/src/ebonyvalve/version/publish.py
+++ b/src/ebonyvalve/version/publish.py
@@ -7,7 +7,7 @@
 import msgspec
 from returns import result
 
-from ebonyvalve.process import identity, platform, report, timer
+from ebonyvalve.process import decoding, identity, platform, report, timer
 from ebonyvalve.version import objects, plan
 
 HEAD_KEY = "config/head"
@@ -236,10 +236,7 @@
 
 
 def _parse_entry(key: str, value: bytes) -> result.Result[Entry, str]:
-    try:
-        return result.Success(msgspec.json.decode(value, type=Entry))
-    except msgspec.DecodeError as error:
-        return result.Failure(f"{key} holds no valid entry: {error}")
+    return decoding.decode(value, Entry).alt(lambda fault: f"{key} holds no valid entry: {fault}")
 
 
 def _fail(order: Order, cause: str) -> Published:
