Show that odd answers of targets don't end a node

A table of answers that a faulty target may send (lengths and chunk sizes of thousands of digits, status codes out of range, an unasked 101, bytes that are no HTTP, heads of 100 KB) is played through the node beside it and through another one.

--- a/tests/platform/test_odd_input.py
+++ b/tests/platform/test_odd_input.py
@@ -1,12 +1,13 @@
 """Input that ended the process: an exception in a connection's handler takes all tasks with it."""
 
 import contextlib
+import dataclasses
 
 import msgspec
 import pytest
 import trio
 
-from ebonyvalve.process import network
+from ebonyvalve.process import http, identity, network
 from tests.platform import mesh as mesh_module
 
 DIGITS = "9" * 5000
@@ -129,3 +130,53 @@
                 await stream.receive_some(65_536)
         await trio.aclose_forcefully(stream)
         assert (await mesh_module.ask(client, "GET", "/orders/x"))[0] == 200
+
+
+ODD_ANSWERS = [
+    b"HTTP/1.1 200 OK\r\ncontent-length: " + DIGITS.encode() + b"\r\n\r\n",
+    b"HTTP/1.1 999 \xff\r\n\r\n",
+    b"HTTP/1.1 000 no\r\n\r\n",
+    b"HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\n\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\n" * 50,
+    b"HTTP/1.1 200 OK\r\nx: \x00\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n" + b"f" * 30 + b"\r\n",
+    b"HTTP/1.1 204 No Content\r\ncontent-length: 5\r\nx-response-seal: s\r\n\r\nhello",
+    b"HTTP/1.1 200 OK\r\nconnection: \xff, \xfe\r\nx-response-seal: \xff\r\n\r\n",
+    b"HTTP/1.1 503 no\r\nx-not-executed: \xff\r\nretry-after: nan\r\ncontent-length: 0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nx: " + b"y" * 100_000 + b"\r\n\r\n",
+    b"SSH-2.0-OpenSSH\r\n",
+    b"\x00" * 100,
+    b"",
+]
+
+
+@pytest.mark.parametrize("answer", ODD_ANSWERS, ids=range(len(ODD_ANSWERS)))
+async def test_odd_answers_of_a_target_cost_their_own_request(answer: bytes) -> None:
+    """A faulty target may send anything; neither its node nor the others must end by it."""
+    async with mesh_module.open_mesh(["orders", "lookup"]) as mesh, trio.open_nursery() as nursery:
+        client = await mesh_module.open_client(mesh.outbound[1])
+        await mesh_module.wait_status(client, 200, "/orders/warm")
+
+        async def reply(stream: trio.abc.Stream) -> None:
+            with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+                await stream.receive_some(65_536)
+                await stream.send_all(answer)
+            await stream.aclose()
+
+        (port,) = mesh_module.find_ports(1)
+        nursery.start_soon(network.listen_tcp, f"127.0.0.1:{port}", reply)
+        node = mesh.daemons[0].node
+        node.place = dataclasses.replace(
+            node.place, target_address=identity.Address(f"127.0.0.1:{port}")
+        )
+        for address in mesh.outbound:
+            stream = await network.connect_tcp(address)
+            await stream.send_all(build_request("GET", "/orders/x", "x-deadline-ms: 300"))
+            with trio.move_on_after(0.5):
+                await stream.receive_some(65_536)
+            await trio.aclose_forcefully(stream)
+        for address in mesh.ready:
+            request = http.Request(method="GET", path="/readyz")
+            sent = await http.fetch(network.connect_tcp, address, request, timeout_s=2.0)
+            assert sent.unwrap().status == 200
+        nursery.cancel_scope.cancel()
