--- a/src/ebonyvalve/platform/news.py
+++ b/src/ebonyvalve/platform/news.py
@@ -11,7 +11,7 @@
 import trio
 
 from ebonyvalve.platform import operator
-from ebonyvalve.process import decision, http, identity, network
+from ebonyvalve.process import decision, decoding, http, identity, network
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.store import table
 from ebonyvalve.version import traffic
@@ -33,7 +33,7 @@
     """One row of the operator."""
 
     key: str
-    version: int
+    version: decoding.Count
     is_removed: bool
     value: bytes
 
@@ -41,7 +41,7 @@
 class WireNews(msgspec.Struct, kw_only=True, frozen=True):
     """Rows that are complete up to a version, since the one asked for or from the beginning."""
 
-    version: int
+    version: decoding.Count
     is_whole: bool
     rows: list[WireRow]
 
@@ -73,12 +73,11 @@
     :param current: gets the configuration.
     :param body: the answer to the question of :func:`tell`.
     """
-    try:
-        packed = zlib.decompressobj().decompress(body, MOST_BYTES)
-        told = msgspec.msgpack.decode(packed, type=WireNews)
-    except (zlib.error, msgspec.DecodeError, RecursionError) as exc:
-        decision.record(log, logging.ERROR, "news-unreadable", cause=str(exc))
+    decoded = decoding.decode_packed(body, WireNews, most=MOST_BYTES)
+    if not isinstance(decoded, result.Success):
+        decision.record(log, logging.ERROR, "news-unreadable", cause=decoded.failure())
         return False
+    told = decoded.unwrap()
     rows = tuple(
         table.Row(
             name=table.Name(table=operator.OPERATOR, key=row.key),
--- a/src/ebonyvalve/process/decoding.py
+++ b/src/ebonyvalve/process/decoding.py
@@ -167,6 +167,22 @@
     return result.Success(plain) if reader.eof else result.Failure(f"no end within {most} bytes")
 
 
+def decode_packed(packed: bytes, form: type[Form], *, most: int) -> result.Result[Form, str]:
+    """Return the value of a packed MessagePack text, or what is wrong with it.
+
+    :param packed: the text, packed with ``zlib``.
+    :param form: the type of the value.
+    :param most: how many bytes it may unpack to.
+    """
+    unpacked = unpack(packed, most=most)
+    if not isinstance(unpacked, result.Success):
+        return result.Failure(unpacked.failure())
+    try:
+        return result.Success(msgspec.msgpack.decode(unpacked.unwrap(), type=form))
+    except UNREADABLE as exc:
+        return result.Failure(describe(exc))
+
+
 def describe(exc: BaseException) -> str:
     """Return a bounded text of what could not be read.
 
--- a/tests/platform/test_news.py
+++ b/tests/platform/test_news.py
@@ -1,7 +1,9 @@
 """What the operator writes is told on from node to node."""
 
 import functools
+import zlib
 
+import msgspec
 import pytest
 import trio
 import trio.testing
@@ -253,7 +255,17 @@
     assert third.evacuated == frozenset()
 
 
-@pytest.mark.parametrize("body", [b"", b"{", b"x\x9c", b"\x00" * 64])
+def pack(version: int) -> bytes:
+    return zlib.compress(msgspec.msgpack.encode({"version": version, "is_whole": True, "rows": []}))
+
+
+ODD_NEWS = [
+    *(b"", b"{", b"x\x9c", b"\x00" * 64),
+    *(pack(-1), pack(2**63), zlib.compress(b"\x91" * 100_000 + b"\x90")),
+]
+
+
+@pytest.mark.parametrize("body", ODD_NEWS, ids=range(len(ODD_NEWS)))
 async def test_unreadable_news(body: bytes, autojump_clock: trio.testing.MockClock) -> None:
     """They change nothing."""
     node = test_origin.build_origin(0.0).node
