Begin a held answer anew after its first beginning was cancelled

Cause: a held answer counted as streamed when its beginning was asked for. Since sends may be cancelled before a byte goes out, the repeat was right, but its head was never written. It happens when an answer becomes readable in the turn in which its node is given up.

Evidence: test_answer_whose_beginning_was_cancelled_is_replaced_whole, both cases red before.

--- a/src/ebonyvalve/request/held.py
+++ b/src/ebonyvalve/request/held.py
@@ -29,10 +29,12 @@
         return not body or await caller.write(body)
 
     async def reply(status: int, headers: exchange.Headers) -> bool:
-        # What came of an earlier attempt that broke off is of no use.
+        # What came of an earlier attempt that broke off is of no use. Its beginning may have been
+        # cancelled before a byte was sent.
         head[:] = [(status, headers)]
         parts.clear()
         size[0] = 0
+        is_streamed[0] = False
         return True
 
     async def write(data: bytes) -> bool:
--- a/tests/request/test_cut_answers.py
+++ b/tests/request/test_cut_answers.py
@@ -9,9 +9,9 @@
 import trio
 import trio.testing
 
-from ebonyvalve.connection import pool
+from ebonyvalve.connection import pool, wire
 from ebonyvalve.process import node as node_module
-from ebonyvalve.request import attempt, exchange, front, origin, outcome, reachability
+from ebonyvalve.request import attempt, exchange, front, held, origin, outcome, reachability
 from tests.request import test_origin
 
 REQUEST = b"GET /orders/1 HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -195,3 +195,36 @@
     view = node_module.read_view(entry.node, test_origin.NAMES[0])
     await origin._hop(entry, call, caller, test_origin.NAMES[0], view)
     assert (view.avoid_until > trio.current_time()) is is_passed_by
+
+
+@pytest.mark.parametrize("joins_head", [True, False])
+async def test_answer_whose_beginning_was_cancelled_is_replaced_whole(joins_head: bool) -> None:
+    """A caller got the head of the first answer with the body of the second.
+
+    The first one was given up in the turn in which its last byte came.
+    """
+    near, far = trio.testing.memory_stream_pair()
+    conn = wire.open_server(far)
+    await near.send_all(REQUEST)
+    await wire.receive(conn)
+    listener = front.Front(
+        now=trio.current_time,
+        handle=None,  # type: ignore[arg-type]
+        find_limits=lambda service: (5.0, 1000),
+        is_hop=False,
+        joins_head=joins_head,
+    )
+    caller = front.build_caller(front.Incoming(conn=conn, front=listener, max_body_bytes=1000))
+    kept = held.hold_back(caller)
+    with trio.CancelScope() as scope:
+        scope.cancel()
+        await kept.reply(200, [(b"content-length", b"5"), (b"x-response-seal", b"first")])
+        await kept.write(b"first")
+        await kept.finish()
+    assert scope.cancelled_caught and not caller.is_begun()
+    await kept.reply(200, [(b"content-length", b"6"), (b"x-response-seal", b"second")])
+    assert await kept.write(b"second") and await kept.finish()
+    got = bytes(await near.receive_some())
+    assert b"x-response-seal: second" in got.lower()
+    assert got.endswith(b"\r\n\r\nsecond")
+    assert b"first" not in got
