Take no hop for a message of a node, and read what news are asked for

Found by the review: GET /ebonyvalve/operator/ with 5,000 digits raised ValueError in a connection's handler and ended the daemon. Messages of nodes were told by their path alone, which is the caller's own on a hop, so that a caller of a route with prefix / could send this, or a ledger.

A request that bears the headers of a hop is never a message now; the version is read by decoding.read_count. A teller that left between its choice and the question raised KeyError in a task; it is passed by.

Evidence: test_odd_bytes_cost_their_own_connection_only[peers_address-33] ended the daemon before; test_hop_is_told_from_a_message_of_a_node.

--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -230,13 +230,11 @@
     :param call: the request.
     :param caller: the other node.
     """
-    if call.path.startswith(reachability.PING_PATH):
-        return await acknowledge(caller, reachability.answer(entry.node, call.path))
-    if call.path.startswith(news.NEWS_PATH):
-        told = news.tell(entry.node, call.path)
-        return await acknowledge(caller, 400 if told is None else 200, told or b"")
-    if call.path.startswith(records.LEDGER_PATH) or call.path == crash.CRASH_PATH:
-        return await take_push(entry, keeper, call, caller)
+    # A hop has the path that its caller chose.
+    if not relay.is_hop(call.headers):
+        answered = await take_message(entry, keeper, call, caller)
+        if answered is not None:
+            return answered
     relay.take_seen(entry.node, call.headers)
     if not relay.undress_hop(call, call.headers):
         refusal = outcome.refuse(outcome.Reason.BAD_REQUEST)
@@ -246,6 +244,26 @@
     return await origin.serve_hop(entry, call, caller)
 
 
+async def take_message(
+    entry: origin.Origin, keeper: records.Steward, call: exchange.Call, caller: exchange.Caller
+) -> outcome.Outcome | None:
+    """Answer a message of another node, or return ``None`` if it is none.
+
+    :param entry: the state.
+    :param keeper: takes the ledgers that other nodes send.
+    :param call: the message.
+    :param caller: the other node.
+    """
+    if call.path.startswith(reachability.PING_PATH):
+        return await acknowledge(caller, reachability.answer(entry.node, call.path))
+    if call.path.startswith(news.NEWS_PATH):
+        told = news.tell(entry.node, call.path)
+        return await acknowledge(caller, 400 if told is None else 200, told or b"")
+    if call.path.startswith(records.LEDGER_PATH) or call.path == crash.CRASH_PATH:
+        return await take_push(entry, keeper, call, caller)
+    return None
+
+
 async def take_push(
     entry: origin.Origin, keeper: records.Steward, call: exchange.Call, caller: exchange.Caller
 ) -> outcome.Outcome:
--- a/src/ebonyvalve/platform/news.py
+++ b/src/ebonyvalve/platform/news.py
@@ -52,15 +52,15 @@
     :param node: the node.
     :param path: names the newest version that the other node has.
     """
-    asked = path.removeprefix(NEWS_PATH)
-    if not asked.isdecimal():
+    asked = decoding.read_count(path.removeprefix(NEWS_PATH).encode())
+    if asked is None:
         return None
     # A row that was removed before is only noticed by its absence.
-    is_whole = int(asked) < node.operator_since
+    is_whole = asked < node.operator_since
     rows = [
         WireRow(key=row.name.key, version=row.version, is_removed=row.is_removed, value=row.value)
         for row in node.operator_rows.values()
-        if is_whole or row.version > int(asked)
+        if is_whole or row.version > asked
     ]
     told = WireNews(version=node.operator_version, is_whole=is_whole, rows=rows)
     return zlib.compress(msgspec.msgpack.encode(told), level=1)
@@ -160,9 +160,12 @@
     connect: network.Connect,
     teller: identity.NodeId,
 ) -> None:
+    known = node.members.get(teller)
+    if known is None:
+        # It has left since it was chosen.
+        return
     request = http.Request(method="GET", path=f"{NEWS_PATH}{node.operator_version}")
-    address = node.members[teller].address
-    sent = await http.fetch(connect, address, request, timeout_s=ASK_TIMEOUT_S)
+    sent = await http.fetch(connect, known.address, request, timeout_s=ASK_TIMEOUT_S)
     reply = sent.unwrap() if isinstance(sent, result.Success) else None
     is_taken = reply is not None and reply.status == OK and take(node, current, reply.body)
     decision.record(
--- a/src/ebonyvalve/request/relay.py
+++ b/src/ebonyvalve/request/relay.py
@@ -85,6 +85,14 @@
     ]
 
 
+def is_hop(headers: exchange.Headers) -> bool:
+    """Return whether a request of another node is a caller's, and no message of its own.
+
+    :param headers: its headers.
+    """
+    return wire.find_header(headers, SERVICE_HEADER) is not None
+
+
 def undress_hop(call: exchange.Call, headers: exchange.Headers) -> bool:
     """Read what :func:`dress_hop` wrote into a request; return whether it was all there.
 
--- a/tests/platform/test_odd_input.py
+++ b/tests/platform/test_odd_input.py
@@ -77,6 +77,8 @@
     build_hop(seen="\xb2"),
     build_hop(owner="\xff"),
     build_hop(load="\xff"),
+    build_request("GET", f"/ebonyvalve/operator/{DIGITS}"),
+    build_request("GET", "/ebonyvalve/operator/\xb2"),
     build_request("GET", "/ebonyvalve/ping/%ff%00"),
     build_request("HEAD", "/ebonyvalve/ping/n0"),
     build_request("POST", f"/ebonyvalve/ledger/lookup/{DIGITS}", body=b'{"spans":[]}'),
--- a/tests/request/test_relay.py
+++ b/tests/request/test_relay.py
@@ -52,6 +52,12 @@
     assert (read.service, read.deadline_at_s) == ("lookup", pytest.approx(5.0, abs=0.002))
 
 
+def test_hop_is_told_from_a_message_of_a_node() -> None:
+    """Callers choose the path of a hop: one under a node's own paths passed for its message."""
+    assert relay.is_hop(relay.dress_hop(fill_call(), 3.0))
+    assert not relay.is_hop([(b"host", b"x")])
+
+
 ODD_REFUSALS = [
     (b"not-run:queue-full", b"nan", None),
     (b"not-run:queue-full", b"-1", None),
