Let chunks override a length, as RFC 9112 has it

Found by the review: an answer with Content-Length: 5 and six bytes in chunks was passed on with that length. h11 refuses to write the rest, and the caller's connection was closed without an answer (the second form of the LOST record). The same on a request would have put its chunks after the end that the length announces.

Evidence: test_chunks_of_an_answer_override_its_length, both cases red before; test_chunks_override_a_length. Any other answer that h11 refuses to write still closes the connection without a 502; none is known.

--- a/src/ebonyvalve/request/dispatch.py
+++ b/src/ebonyvalve/request/dispatch.py
@@ -142,6 +142,9 @@
     """
     named = wire.find_header(headers, b"connection") or b""
     listed = {name.strip().lower() for name in named.split(b",")}
+    if wire.find_header(headers, b"transfer-encoding") is not None:
+        # Chunks override a length (RFC 9112, section 6.3), which need not be theirs.
+        listed.add(b"content-length")
     return [
         (name, value)
         for name, value in headers
@@ -269,7 +272,8 @@
     now: collections.abc.Callable[[], float],
 ) -> None:
     began_at = conn.progress
-    is_announced = wire.find_header(attempt.headers, b"content-length") is not None
+    names = {name for name, _ in attempt.headers}
+    is_announced = b"content-length" in names and b"transfer-encoding" not in names
     while True:
         liveness.note_asked(slot.life, now())
         received = await wire.receive(conn)
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -216,10 +216,10 @@
 
     :param headers: pairs with names in lower case.
     """
-    value = wire.find_header(headers, b"content-length")
-    if value is not None:
-        return int(value)
-    return None if wire.find_header(headers, b"transfer-encoding") else 0
+    if wire.find_header(headers, b"transfer-encoding") is not None:
+        # It overrides a length (RFC 9112, section 6.3).
+        return None
+    return int(wire.find_header(headers, b"content-length") or 0)
 
 
 async def _hold_prefix(call: exchange.Call, caller: exchange.Caller) -> bool:
--- a/tests/request/test_cut_answers.py
+++ b/tests/request/test_cut_answers.py
@@ -44,6 +44,11 @@
     await stream.send_all(build_answer(SMALL)[:-1])
 
 
+async def answer_with_two_lengths(stream: trio.abc.Stream) -> None:
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+    await stream.send_all(head + b"6\r\nsixsix\r\n0\r\n\r\n")
+
+
 async def answer_in_two_parts(stream: trio.abc.Stream) -> None:
     whole = build_answer(LARGE)
     await stream.send_all(whole[:90_000])
@@ -228,3 +233,12 @@
     assert b"x-response-seal: second" in got.lower()
     assert got.endswith(b"\r\n\r\nsecond")
     assert b"first" not in got
+
+
+@pytest.mark.parametrize("is_repeatable", [True, False])
+async def test_chunks_of_an_answer_override_its_length(
+    monkeypatch: pytest.MonkeyPatch, autojump_clock: trio.testing.MockClock, is_repeatable: bool
+) -> None:
+    """The caller's connection was closed without an answer, as the length was passed on."""
+    got = await ask(monkeypatch, [answer_with_two_lengths], is_repeatable=is_repeatable)
+    assert got == (200, len(b"sixsix"))
--- a/tests/request/test_front.py
+++ b/tests/request/test_front.py
@@ -8,7 +8,7 @@
 import trio
 import trio.testing
 
-from ebonyvalve.request import exchange, front, outcome
+from ebonyvalve.request import dispatch, exchange, front, outcome
 
 MAX_BODY_BYTES = 20_000
 GOOD = b"GET /calendrier/salle-1/slots HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -214,3 +214,18 @@
             await front.serve(listener, far)
         nursery.cancel_scope.cancel()
     assert not scope.cancelled_caught
+
+
+@pytest.mark.parametrize(
+    ("headers", "length"),
+    [
+        ([], 0),
+        ([(b"content-length", b"5")], 5),
+        ([(b"transfer-encoding", b"chunked")], None),
+        ([(b"content-length", b"5"), (b"transfer-encoding", b"chunked")], None),
+    ],
+)
+def test_chunks_override_a_length(headers: exchange.Headers, length: int | None) -> None:
+    """A body in chunks was passed on with the length beside them, which need not be theirs."""
+    assert front.find_length(headers) == length
+    assert (b"content-length", b"5") not in dispatch.filter_headers(headers) or length == 5
