Free the keys of a lost machine whose lease row is odd

Keys of a machine that was lost stayed unserved for good when another writer had left an odd row in place of its lease. The row counts as a lease that was renewed just before, but each node reads it at a time of its own, so that they disagree by some seconds on when it is over: one took the keys, and another gave part of them back to the lost node, which it still took for alive.

A node whose lease row can't be read gets no keys.

--- a/src/ebonyvalve/process/keyspace/lease.py
+++ b/src/ebonyvalve/process/keyspace/lease.py
@@ -26,6 +26,7 @@
 class LeaseRow(msgspec.Struct, kw_only=True, frozen=True):
     """A node's promise not to renew its target's keys after a time of the store's clock.
 
+    ``incarnation`` is empty where the row could not be read and the promise is the latest possible.
     ``offered`` and ``request_load`` are the load of its target when the row was written, for
     nodes that had no answer from it lately.
     """
@@ -106,12 +107,12 @@
     """Return the store time by which all leases that have been written so far have ended.
 
     A node may count from a reading of the store's clock that is off by as long as a follow lasts,
-    which is less than a lease.
+    which is less than a lease; the third covers the drift of an old reading.
 
     :param clock: a reading of the store's clock.
     :param now: seconds on the node's clock.
     """
-    return math.inf if clock is None else read_latest(clock, now) + 2 * LEASE_S
+    return math.inf if clock is None else read_latest(clock, now) + 3 * LEASE_S
 
 
 def find_hold(row: LeaseRow | None, clock: StoreClock | None, now: float, most_s: float) -> float:
--- a/src/ebonyvalve/process/keyspace/steward.py
+++ b/src/ebonyvalve/process/keyspace/steward.py
@@ -246,7 +246,10 @@
         and node.clock is not None
         and lease.is_over(other.row, node.clock, now)
     )
-    alive = frozenset(node.leases) - over | {node.place.node}
+    # Nodes read an odd row at different times, so that they disagree on when its lease is over; one
+    # that had taken it for alive would give keys back to a lost node.
+    unknown = {name for name, other in node.leases.items() if not other.row.incarnation}
+    alive = frozenset(node.leases) - over - unknown | {node.place.node}
     book = node.books.get(node.place.service)
     is_silent = target is not None and target.is_silent
     is_known = target is not None and not target.is_assumed
--- a/tests/process/keyspace/test_steward.py
+++ b/tests/process/keyspace/test_steward.py
@@ -587,6 +587,18 @@
     assert world.violations == []
 
 
+async def test_keys_of_a_lost_machine_whose_lease_row_is_odd(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """They were nobody's for good, as each write that took them required that there was no row."""
+    world = await build_world(nursery)
+    lost = world.machines[0]
+    lose_machine(lost)
+    metadata.put(world.state, "lease", lost.name, b"\xff")
+    assert await wait_whole(world, 60.0) < 3 * lease.LEASE_S + lease.RENEW_S + 1.5
+    assert world.violations == []
+
+
 FAULTS = ["kill-node", "crash-target", "restart-target", "freeze", "store", "store-some", "leave"]
 
 
