Count a body in chunks as one without a length whatever its head announces

An answer with both Content-Length and Transfer-Encoding is read in chunks, so that its announced length limits nothing (RFC 9112, section 6.3).

--- a/src/ebonyvalve/request/dispatch.py
+++ b/src/ebonyvalve/request/dispatch.py
@@ -264,7 +264,8 @@
     now: collections.abc.Callable[[], float],
 ) -> None:
     began_at = conn.progress
-    is_announced = wire.find_header(attempt.headers, b"content-length") is not None
+    names = {name for name, _ in attempt.headers}
+    is_announced = b"content-length" in names and b"transfer-encoding" not in names
     while True:
         liveness.note_asked(slot.life, now())
         received = await wire.receive(conn)
--- a/tests/request/test_endless.py
+++ b/tests/request/test_endless.py
@@ -109,6 +109,7 @@
         (OK + OWN + b"\r\n", b"a", STRAY_BYTES, LOST),
         # A sealed answer that announces no length.
         (OK + OWN + SEALED + CHUNKED, CHUNK, STREAM_BYTES, LOST),
+        (OK + OWN + SEALED + b"Content-Length: 9\r\n" + CHUNKED, CHUNK, STREAM_BYTES, LOST),
         (OK + OWN + SEALED + b"\r\n", b"a", STREAM_BYTES, LOST),
         (OK + OWN + SEALED + CHUNKED + b"1;", b"a", HEAD_BYTES, LOST),
         (OK + OWN + SEALED + CHUNKED, b"1;" + b"a" * 16_000 + b"\r\na\r\n", STREAM_BYTES, LOST),
