Log answers of targets that are not believed

An answer that counts as "may have run" because it names no request, promises too much or has no seal left no line: `event=attempt` is written for attempts without an answer only.

--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -4,16 +4,19 @@
 import contextlib
 import dataclasses
 import enum
+import logging
 
 import trio
 
 from ebonyvalve.connection import pool
-from ebonyvalve.process import identity, timer
+from ebonyvalve.process import decision, identity, timer
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant, ledger
 from ebonyvalve.process.load import gate, heat, pace
 from ebonyvalve.request import attempt, crash, dispatch, exchange, outcome, proof
 
+log = logging.getLogger(__name__)
+
 ANY_KEY = -1
 # Callers that are refused come back, mostly twice.
 REFUSED_WEIGHT = 1 / 3
@@ -290,6 +293,8 @@
         crash.note_refused(delivery.crashes)
         return Ended(result=outcome.refuse(outcome.Reason.NO_TARGET), retry_after_s=0.3)
     if ended.attempt.step is dispatch.Step.WITHHELD:
+        if judged[0] is Judgement.SPOILED:
+            _record_spoiled(call, ended.attempt)
         return _conclude_withheld(node, judged[0])
     concluded = attempt.conclude(ended)
     if concluded.result.reason is outcome.Reason.CONNECTION_LOST and ended.cut is None:
@@ -323,6 +328,19 @@
         scope.shield = False
 
 
+def _record_spoiled(call: exchange.Call, answer: dispatch.Attempt) -> None:
+    """Log an answer that can't be the target's own to this request, or is not said to be."""
+    decision.record(
+        log,
+        logging.INFO,
+        "answer-spoiled",
+        id=call.request_id,
+        status=answer.status,
+        names=answer.naming,
+        first=answer.is_first,
+    )
+
+
 def _conclude_withheld(node: node_module.Node, judged: Judgement) -> Ended:
     if judged is Judgement.SPOILED:
         return Ended(result=outcome.doubt(outcome.Reason.CONNECTION_LOST))
--- a/tests/request/test_refusals.py
+++ b/tests/request/test_refusals.py
@@ -1,6 +1,7 @@
 """Refusals of a target that writes an earlier one once more on a kept connection."""
 
 import dataclasses
+import logging
 
 import h11
 import pytest
@@ -183,7 +184,10 @@
 
 @pytest.mark.parametrize("status", [503, 429, 421, 400, 404, 500])
 async def test_answer_without_a_name_is_believed_only_on_a_new_connection(
-    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock, status: int
+    nursery: trio.Nursery,
+    autojump_clock: trio.testing.MockClock,
+    caplog: pytest.LogCaptureFixture,
+    status: int,
 ) -> None:
     """Targets name the request, so that an answer without a name may be that to any earlier one."""
     strange = build_refusal(status, None)
@@ -191,9 +195,12 @@
         strange = strange.replace(b"X-Not-Executed: 1\r\n", b"")
     target = Target(nursery=nursery, strange=strange)
     entry = build_entry(target)
+    caplog.set_level(logging.INFO)
     assert (await ask(entry, "r1")).verdict is outcome.Verdict.ANSWERED
     assert (await ask(entry, "r2")).verdict is outcome.Verdict.UNKNOWN
     assert target.ran == ["r1", "r2"]
+    # Operators see why the outcome is unknown.
+    assert [one.message for one in caplog.records if one.message == "answer-spoiled"]
     assert (await ask(entry, "r3")).verdict is outcome.Verdict.ANSWERED
     assert target.opened == 2
 
