Let the tests of callers that leave wait for what they need instead of fixed times

Beside plays a sleep of 50 ms can be too short or 200 ms of work over too soon. The targets' work of 1 s begins after the warm-up, so that the gate's expectation stays small.

--- a/tests/platform/test_gone.py
+++ b/tests/platform/test_gone.py
@@ -1,5 +1,6 @@
 """Callers that leave before their requests have been sent on, or while targets work on them."""
 
+import collections.abc
 import socket
 import time
 
@@ -11,6 +12,7 @@
 from tests.platform import mesh as mesh_module
 
 LONG = b"x" * 6000
+WORK_S = 1.0
 
 
 def build_request(method: str, path: str, name: str, body: bytes = b"") -> bytes:
@@ -25,6 +27,13 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+async def wait_for(check: collections.abc.Callable[[], bool]) -> None:
+    async def ask() -> bool:
+        return check()
+
+    await mesh_module.poll(ask)
+
+
 def stand_still(seconds: float) -> None:
     """Give the loop no turn, as a freeze does."""
     time.sleep(seconds)
@@ -64,29 +73,32 @@
 @pytest.mark.parametrize("node", [0, 1])
 async def test_lookup_with_a_long_body_is_dropped_when_its_caller_leaves(node: int) -> None:
     """Callers of requests longer than the held prefix left, and their targets went on working."""
-    async with mesh_module.open_mesh(["orders", "lookup"], work_s=0.4) as mesh:
+    async with mesh_module.open_mesh(["orders", "lookup"]) as mesh:
         await warm_up(mesh)
+        one = mesh.targets[1]
+        one.work_s = WORK_S
         stream = await network.connect_tcp(mesh.outbound[node])
         await stream.send_all(build_request("GET", "/lookup/x", "r", LONG))
-        await trio.sleep(0.2)
+        await wait_for(lambda: one.reached == ["r"])
         await stream.aclose()
-        await trio.sleep(0.1)
-        one = mesh.targets[1]
-        assert (one.reached, one.dropped, one.running) == (["r"], 1, 0)
+        await wait_for(lambda: one.running == 0)
+        assert (one.reached, one.dropped) == (["r"], 1)
 
 
 @pytest.mark.parametrize("node", [0, 1])
 async def test_order_with_a_long_body_goes_on_when_its_caller_leaves(node: int) -> None:
     """Guards against an order that is half done because its caller is watched."""
-    async with mesh_module.open_mesh(["orders", "lookup"], work_s=0.4) as mesh:
+    async with mesh_module.open_mesh(["orders", "lookup"]) as mesh:
         await warm_up(mesh)
-        mesh.targets[0].ran.clear()
+        one = mesh.targets[0]
+        one.work_s = WORK_S
+        one.ran.clear()
         stream = await network.connect_tcp(mesh.outbound[node])
         await stream.send_all(build_request("POST", "/orders/x", "r", LONG))
-        await trio.sleep(0.2)
+        await wait_for(lambda: one.reached == ["r"])
         await stream.aclose()
-        await trio.sleep(0.4)
-        assert mesh.targets[0].ran == ["r"]
+        await wait_for(lambda: one.running == 0)
+        assert one.ran == ["r"]
 
 
 @pytest.mark.parametrize("method", ["GET", "POST"])
@@ -95,20 +107,21 @@
     method: str, body: bytes
 ) -> None:
     """A caller left while its request waited for room at the target beside its node."""
-    async with mesh_module.open_mesh(["orders", "lookup"], work_s=0.2) as mesh:
+    async with mesh_module.open_mesh(["orders", "lookup"]) as mesh:
         await warm_up(mesh)
         path, node = ("/orders/x", 0) if method == "POST" else ("/lookup/x", 1)
         one = mesh.targets[node]
+        one.work_s = WORK_S
         busy = [await network.connect_tcp(mesh.outbound[node]) for _ in range(one.slots)]
         for number, stream in enumerate(busy):
             await stream.send_all(build_request(method, path, f"busy{number}"))
-        await trio.sleep(0.05)
+        await wait_for(lambda: one.running == one.slots)
         queued = await network.connect_tcp(mesh.outbound[node])
         await queued.send_all(build_request(method, path, "queued", body))
-        await trio.sleep(0.05)
-        assert len(mesh.daemons[node].node.gate.waiting) == 1
+        await wait_for(lambda: len(mesh.daemons[node].node.gate.waiting) == 1)
         await queued.aclose()
-        await trio.sleep(0.4)
+        await wait_for(lambda: one.running == 0)
+        await trio.sleep(0.2)
         assert sorted(one.reached) == [f"busy{number}" for number in range(one.slots)]
 
 
