Bring no removed evacuation back by an answer that comes late

Found by the review: a whole answer of another node, complete up to version 10, brought back the evacuation of a zone that the store, read whole at 12, did not have any more; the zone stayed evacuated until the row was written again.

A row that is missing in a whole answer was removed before its version, so that a row below that is not news.

--- a/src/ebonyvalve/platform/news.py
+++ b/src/ebonyvalve/platform/news.py
@@ -117,6 +117,7 @@
     An answer over a busy link takes longer than another node is waited for, so that it goes on
     beside the next question.
     """
+    before = node.operator_version
     asked: set[identity.NodeId] = set()
     async with trio.open_nursery() as nursery:
 
@@ -140,7 +141,9 @@
                 nursery.start_soon(ask, teller)
             await node_module.pause(node, ASK_PAUSE_S * (1 + node.draw()))
             node.named_by = None
-    node_module.look_for_orders(node)
+    if node.operator_version > before:
+        # The store need not go on with what has come.
+        node_module.look_for_orders(node)
 
 
 def choose_teller(node: node_module.Node) -> identity.NodeId | None:
--- a/src/ebonyvalve/platform/operator.py
+++ b/src/ebonyvalve/platform/operator.py
@@ -95,7 +95,7 @@
         known; the store's versions count other rows too.
     """
     known = node.operator_rows
-    fresh = [row for row in read.rows if row.version > _read_version(known, row.name.key)]
+    fresh = [row for row in read.rows if row.version > _read_version(node, row.name.key)]
     known.update({row.name.key: row for row in fresh})
     newest = max((row.version for row in read.rows), default=0)
     node.operator_version = max(node.operator_version, newest, reached)
@@ -104,6 +104,7 @@
         for key, row in list(known.items()):
             if key not in names and row.version <= read.version:
                 del known[key]
+        node.operator_whole = max(node.operator_whole, read.version)
         # When the missing rows were removed is not known.
         node.operator_since = node.operator_version
     for row in fresh:
@@ -116,9 +117,10 @@
     node_module.pulse(node)
 
 
-def _read_version(known: collections.abc.Mapping[str, table.Row], key: str) -> int:
-    row = known.get(key)
-    return table.MISSING if row is None else row.version
+def _read_version(node: node_module.Node, key: str) -> int:
+    """Return the version of a known row, or of the whole answer that lacked it."""
+    row = node.operator_rows.get(key)
+    return node.operator_whole if row is None else row.version
 
 
 def list_evacuated(rows: collections.abc.Iterable[table.Row]) -> frozenset[identity.ZoneId]:
--- a/src/ebonyvalve/process/node.py
+++ b/src/ebonyvalve/process/node.py
@@ -94,6 +94,8 @@
     # What the operator wrote: the newest version that was applied, the newest rows by key, the
     # newest version that others have named, and who named it.
     operator_version: int = 0
+    # The version as of which all rows were last told at once; a missing one was removed before.
+    operator_whole: int = 0
     # The store has told all of the operator's rows up to this version of its counter.
     operator_reached: int = 0
     operator_rows: dict[str, table.Row] = dataclasses.field(default_factory=dict)
--- a/tests/platform/test_operator.py
+++ b/tests/platform/test_operator.py
@@ -231,3 +231,21 @@
         await trio.sleep(0.1)
         node_module.note_named(node, 20)
     assert asked[0] <= 3
+
+
+async def test_late_answer_brings_no_removed_evacuation_back(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """A node's answer was complete up to 10, and came after the store had been read at 12."""
+    node = test_origin.build_origin(0.0).node
+    current = traffic.Current()
+    config = build_row("config", 4, mesh_module.build_config(2))
+    whole = table.Rows(rows=(config,), version=12, clock=None)
+    operator.apply(node, current, whole, is_whole=True)
+    row = build_row("evacuate/z1", 9, b"{}")
+    late = table.Rows(rows=(row,), version=10, clock=None)
+    operator.apply(node, current, late, is_whole=True, reached=10)
+    assert node.evacuated == frozenset()
+    again = table.Rows(rows=(build_row("evacuate/z1", 14, b"{}"),), version=14, clock=None)
+    operator.apply(node, current, again, is_whole=False)
+    assert node.evacuated == {"z1"}
