Let conflicts not put off the end of a lease that can't be read

Found by the review: an odd lease row counts as renewed when it is read, and each conflict of a write read it anew, so that the keys of its node stayed unserved. A row that is known keeps the end that it got. Evidence: test_conflicts_do_not_renew_a_lease_that_cannot_be_read, red before.

--- a/src/ebonyvalve/connection/pool.py
+++ b/src/ebonyvalve/connection/pool.py
@@ -233,7 +233,10 @@
     for address, slots in list(pool.slots.items()):
         lives = {name: slot.life for name, slot in slots.items()}
         for name in liveness.find_idle(lives, now=pool.now()):
-            await discard(pool, address, slots[name])
+            idle = slots.get(name)
+            # It may have been taken or retired while another one was closed.
+            if idle is not None and idle.life.phase is liveness.Phase.IDLE:
+                await discard(pool, address, idle)
         lives = {name: slot.life for name, slot in slots.items()}
         for name in liveness.find_silent(lives, now=pool.now(), p99_s=p99_s):
             if not slots[name].is_repeatable or slots[name].is_begun():
--- a/src/ebonyvalve/process/keyspace/tenure.py
+++ b/src/ebonyvalve/process/keyspace/tenure.py
@@ -188,10 +188,7 @@
     records.take_clock(steward, read.clock)
     leases = {}
     for row in read.rows:
-        name = identity.NodeId(row.name.key)
-        known = node.leases.get(name)
-        is_known = known is not None and known.version == row.version
-        leases[name] = known if known and is_known else _take_lease(steward, row, read.clock)
+        leases[identity.NodeId(row.name.key)] = _take_lease(steward, row, read.clock)
     places = {records.describe_place(row.name) for row in read.rows}
     decoding.forget_missing(node.unreadable, records.LEASES, places)
     node.leases = leases
@@ -206,8 +203,11 @@
     """Return the lease of a row; one that can't be read counts as renewed just before.
 
     Its node may be alive, and then writes it anew. The keys of one that has ended are taken later
-    by a write that requires this very row.
+    by a write that requires this very row. It keeps the end that it got when it was first read.
     """
+    known = steward.node.leases.get(identity.NodeId(row.name.key))
+    if known is not None and known.version == row.version:
+        return known
     until_s = lease.find_latest_end(clock, steward.node.now())
     unknown = lease.LeaseRow(until_s=until_s, incarnation="")
     held = _read_lease(steward, row, clock).value_or(unknown)
--- a/src/ebonyvalve/request/attempt.py
+++ b/src/ebonyvalve/request/attempt.py
@@ -96,6 +96,7 @@
         slot = acquired.unwrap()
         slot.is_repeatable = call.rules is None or call.rules.is_repeatable
         slot.is_arriving = False
+        slot.cut = None
         slot.is_begun = caller.is_begun
         # The last moment: nothing is awaited before the first byte is sent. The watch may not have
         # had its turn, after a freeze or a wait for room.
--- a/tests/process/keyspace/test_tenure.py
+++ b/tests/process/keyspace/test_tenure.py
@@ -208,3 +208,18 @@
     found = lease.decode(value).value_or(None)
     if found is not None:
         assert all(math.isfinite(part) and part >= 0 for part in (found.until_s, found.offered))
+
+
+async def test_conflicts_do_not_renew_a_lease_that_cannot_be_read(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Each write that failed for another reason put off the end of an odd lease once more."""
+    script = Script()
+    keeper = build_steward(script)
+    row = table.Row(name=records.name_lease(identity.NodeId("other")), value=b"odd", version=7)
+    script.leases = [row]
+    await tenure.read_leases(keeper)
+    until_s = keeper.node.leases[identity.NodeId("other")].row.until_s
+    await trio.sleep(5.0)
+    tenure.take_conflict(keeper, (row,))
+    assert keeper.node.leases[identity.NodeId("other")].row.until_s == until_s
