Take no other status of the store for an answer about rows

Any status but four passed for success: a write that the store answered with 400 or 500 counted as done, so that a node believed in a lease that was nowhere and could have granted by it, and a read counted as a table without rows, so that all members were dropped.

Only 200 and 412 are answers now, and 404 to reads, since the store's page does not say what a table without rows answers. All others are outcomes that nobody knows, after which the node reads what the store has.

Found by reading.

--- a/src/ebonyvalve/platform/store.py
+++ b/src/ebonyvalve/platform/store.py
@@ -25,6 +25,8 @@
 OK = 200
 CONFLICT = 412
 GONE = 410
+# A table without rows may not be there yet.
+NO_TABLE = 404
 # With these the store says that nothing was done.
 REFUSED = (429, 503, 403, 507)
 # A page is an object with a list of rows, which are objects.
@@ -182,6 +184,8 @@
     decoded = _decode_rows(client, answer)
     if isinstance(decoded, table.Trouble):
         return decoded
+    if answer.status == NO_TABLE:
+        return table.Trouble.UNKNOWN
     if answer.status == CONFLICT:
         return table.Conflict(rows=decoded.rows)
     return table.Committed(version=decoded.version, clock=decoded.clock)
@@ -194,6 +198,10 @@
 def _decode_rows(client: Client, answer: Answer) -> table.Rows | table.Trouble:
     if answer.status == GONE:
         return table.Trouble.HISTORY_GONE
+    if answer.status not in (OK, CONFLICT, NO_TABLE):
+        # Such a body would pass for a table without rows, or for a write that was done.
+        decision.record(log, logging.ERROR, "store-answer-unreadable", cause=answer.status)
+        return table.Trouble.UNKNOWN
     decoded = decoding.decode(answer.body, WireRows)
     if not isinstance(decoded, result.Success):
         decoded = _pick_readable(client, answer.body)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -235,3 +235,30 @@
     client = build_client()
     answer = store.Answer(status=200, body=body, asked_at=0.0, answered_at=0.1)
     assert isinstance(store._decode_rows(client, answer), table.Rows | table.Trouble)
+
+
+@pytest.mark.parametrize("status", [201, 204, 301, 400, 413, 500, 502])
+@pytest.mark.parametrize("body", [b"{}", b'{"ver":12}'])
+def test_answer_with_another_status_says_nothing(status: int, body: bytes) -> None:
+    """It passed for a table without rows, and after a write for one that was done."""
+    answer = store.Answer(status=status, body=body, asked_at=0.0, answered_at=0.1)
+    assert store._decode_rows(build_client(), answer) is table.Trouble.UNKNOWN
+
+
+@pytest.mark.parametrize("status", [201, 400, 404, 500])
+async def test_write_with_another_status_is_not_done(
+    status: int, nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """A node took its lease for written, and granted by it, after any answer with a JSON body."""
+
+    async def respond(_: http.Request) -> http.Reply:
+        return http.Reply(status=status, body=b"{}")
+
+    async def connect(_: str) -> trio.abc.Stream:
+        ours, theirs = trio.testing.memory_stream_pair()
+        nursery.start_soon(functools.partial(http.serve, respond, theirs))
+        return ours
+
+    client = store.Client(address="10.0.0.1:1", connect=connect, now=trio.current_time)
+    done = await store.open_store(client).commit({name_row("a"): 0}, {name_row("a"): b"one"})
+    assert done is table.Trouble.UNKNOWN
