Sum what is promised to the link only for large answers; name the known version once

From a last read of the change, without change of behaviour: each admission added up the answers that are being made, also for kinds that never wait for the link; the version up to which the operator's rows are known was worked out in two places; two tests had the same closure. Comments of the operator's fields stand beside what they describe.

--- a/src/ebonyvalve/process/load/gate.py
+++ b/src/ebonyvalve/process/load/gate.py
@@ -2,8 +2,8 @@
 
 The node counts what runs exactly, so that a target never gets more than its slots, a cold one no
 more requests a second than it bears, and the link no more large answers than it can carry soon.
-Requests beyond that wait in a short queue, the urgent
-ones first, or are refused at once when they can't be served in time.
+Requests beyond that wait in a short queue, the urgent ones first, or are refused at once when they
+can't be served in time.
 """
 
 import collections
@@ -373,7 +373,9 @@
 
 
 def _has_link(gate: Gate, kind: str, now: float) -> bool:
-    return link.has_room(gate.uplink, expect_size(gate, kind), _find_promised(gate), now)
+    if not link.is_large(gate.uplink, expect_size(gate, kind)):
+        return True
+    return link.has_room(gate.uplink, _find_promised(gate), now)
 
 
 def _find_slot(gate: Gate, now: float) -> bool:
--- a/src/ebonyvalve/process/load/link.py
+++ b/src/ebonyvalve/process/load/link.py
@@ -62,12 +62,11 @@
     return expect_transfer(link, size) >= LARGE_S
 
 
-def has_room(link: Link, size: float, promised: float, now: float) -> bool:
-    """Return whether an answer may be asked for now.
+def has_room(link: Link, promised: float, now: float) -> bool:
+    """Return whether a large answer may be asked for now.
 
     :param link: the state.
-    :param size: its expected bytes.
     :param promised: bytes of answers that are being made.
     :param now: seconds on the node's clock.
     """
-    return not is_large(link, size) or predict_backlog(link, promised, now) <= MOST_BACKLOG_S
+    return predict_backlog(link, promised, now) <= MOST_BACKLOG_S
--- a/src/ebonyvalve/process/node.py
+++ b/src/ebonyvalve/process/node.py
@@ -94,13 +94,13 @@
     # What the operator wrote: the newest version that was applied, the newest rows by key, the
     # newest version that others have named, and who named it.
     operator_version: int = 0
+    operator_rows: dict[str, table.Row] = dataclasses.field(default_factory=dict)
+    # Rows that were removed before this version are not among them.
+    operator_since: int = 0
     # The version as of which all rows were last told at once; a missing one was removed before.
     operator_whole: int = 0
     # The store has told all of the operator's rows up to this version of its counter.
     operator_reached: int = 0
-    operator_rows: dict[str, table.Row] = dataclasses.field(default_factory=dict)
-    # Rows that were removed before this version are not among them.
-    operator_since: int = 0
     named_version: int = 0
     named_by: identity.NodeId | None = None
     named: trio.Event = dataclasses.field(default_factory=trio.Event)
@@ -149,7 +149,15 @@
 
     :param node: the node.
     """
-    return node.named_version > max(node.operator_version, node.operator_reached)
+    return node.named_version > read_operator_version(node)
+
+
+def read_operator_version(node: Node) -> int:
+    """Return the version up to which the operator's rows are known.
+
+    :param node: the node.
+    """
+    return max(node.operator_version, node.operator_reached)
 
 
 def note_named(node: Node, version: int, by: identity.NodeId | None = None) -> None:
@@ -159,9 +167,7 @@
     :param version: its version in the store.
     :param by: the other node, if that is known.
     """
-    if version <= max(node.operator_version, node.operator_reached):
-        return
-    if version < node.named_version:
+    if version <= read_operator_version(node) or version < node.named_version:
         return
     if version > node.named_version:
         node.named_version, node.named_by = version, by
--- a/tests/platform/test_news.py
+++ b/tests/platform/test_news.py
@@ -25,6 +25,11 @@
     return table.Trouble.UNAVAILABLE
 
 
+async def fail_to_connect(asked: list[str], address: str) -> trio.abc.Stream:
+    asked.append(address)
+    raise OSError("unreachable")
+
+
 def build_refusing_store(rows: list[table.Row], follows: list[float]) -> table.Store:
     """Return a store that answers the first read and then refuses this node."""
 
@@ -198,12 +203,9 @@
     node = test_origin.build_origin(0.0).node
     nursery.start_soon(timer.run, node.wakeups)
     asked: list[str] = []
-
-    async def connect(address: str) -> trio.abc.Stream:
-        asked.append(address)
-        raise OSError("unreachable")
-
-    nursery.start_soon(news.learn, node, traffic.Current(), connect)
+    nursery.start_soon(
+        news.learn, node, traffic.Current(), functools.partial(fail_to_connect, asked)
+    )
     apply(node, test_operator.build_row("config", 4, mesh_module.build_config(2)), is_whole=True)
     before = node.recheck
     node_module.note_named(node, 9, TELLER)
@@ -222,12 +224,9 @@
     node = test_origin.build_origin(0.0).node
     nursery.start_soon(timer.run, node.wakeups)
     asked: list[str] = []
-
-    async def connect(address: str) -> trio.abc.Stream:
-        asked.append(address)
-        raise OSError("unreachable")
-
-    nursery.start_soon(news.learn, node, traffic.Current(), connect)
+    nursery.start_soon(
+        news.learn, node, traffic.Current(), functools.partial(fail_to_connect, asked)
+    )
     node_module.note_named(node, 9, TELLER)
     await trio.sleep(2.0)
     assert 3 <= len(asked) <= 8
