Keep the log lines of requests that may have run apart from refusals

Such requests and the attempts that were sent are warnings now, and each level has a limit of its own. The volume stays bounded: 50 lines a second and level after a burst of 500.

The new test fails without the change.

--- a/src/ebonyvalve/process/observation/output.py
+++ b/src/ebonyvalve/process/observation/output.py
@@ -8,16 +8,25 @@
 from ebonyvalve.process import decision
 
 # A node gets about a hundred requests per second. Every refusal of a short burst is logged, a long
-# storm of refusals only as a sample.
+# storm of refusals only as a sample. Each level has a limit of its own, so that the refusals don't
+# displace the lines about requests that may have run.
 LINES_PER_S = 50.0
 BURST_LINES = 500.0
 # Only lines about single requests may be omitted. All others record a change of the node's state.
 LIMITED_EVENTS = frozenset({"request", "attempt"})
 
 
+@dataclasses.dataclass(kw_only=True)
+class Bucket:
+    """A token bucket: the lines that may be written now."""
+
+    refilled_at: float
+    tokens: float = BURST_LINES
+
+
 @dataclasses.dataclass(kw_only=True)
 class Output:
-    """A file descriptor for log lines, with a token bucket that limits their rate.
+    """A file descriptor for log lines, with a token bucket a level that limits their rate.
 
     ``omitted`` counts the lines omitted since the last line that stated their number, ``blocked``
     the lines dropped because the pipe was full or closed. ``partial`` is the rest of a line of
@@ -26,8 +35,7 @@
 
     descriptor: int
     now: collections.abc.Callable[[], float]
-    tokens: float = BURST_LINES
-    refilled_at: float = 0.0
+    buckets: dict[int, Bucket] = dataclasses.field(default_factory=dict)
     omitted: int = 0
     blocked: int = 0
     partial: bytes = b""
@@ -40,24 +48,26 @@
     :param now: returns the time in seconds.
     """
     os.set_blocking(descriptor, False)
-    return Output(descriptor=descriptor, now=now, refilled_at=now())
+    return Output(descriptor=descriptor, now=now)
 
 
-def may_write(output: Output, event: str) -> bool:
-    """Return whether a line may be written, and count it against the limit.
+def may_write(output: Output, event: str, level: int) -> bool:
+    """Return whether a line may be written, and count it against the limit of its level.
 
     :param output: the output.
     :param event: the event of the line.
+    :param level: the level of the line.
     """
     if event not in LIMITED_EVENTS:
         return True
     current = output.now()
-    output.tokens = min(BURST_LINES, output.tokens + (current - output.refilled_at) * LINES_PER_S)
-    output.refilled_at = current
-    if output.tokens < 1.0:
+    bucket = output.buckets.setdefault(level, Bucket(refilled_at=current))
+    bucket.tokens = min(BURST_LINES, bucket.tokens + (current - bucket.refilled_at) * LINES_PER_S)
+    bucket.refilled_at = current
+    if bucket.tokens < 1.0:
         output.omitted += 1
         return False
-    output.tokens -= 1.0
+    bucket.tokens -= 1.0
     return True
 
 
@@ -92,7 +102,7 @@
     handler = logging.Handler()
 
     def emit(entry: logging.LogRecord) -> None:
-        if not may_write(output, entry.getMessage()):
+        if not may_write(output, entry.getMessage(), entry.levelno):
             return
         if output.omitted:
             fields = {**getattr(entry, "fields", {}), "omitted_before": output.omitted}
--- a/src/ebonyvalve/request/attempt.py
+++ b/src/ebonyvalve/request/attempt.py
@@ -144,7 +144,7 @@
     head_at = attempt.head_at_s
     decision.record(
         log,
-        logging.INFO,
+        logging.WARNING if attempt.is_sent else logging.INFO,
         "attempt",
         id=call.request_id,
         address=context.address,
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -502,10 +502,11 @@
     )
     if is_success and not log.isEnabledFor(logging.DEBUG):
         return
+    level = logging.WARNING if result.verdict is outcome.Verdict.UNKNOWN else logging.INFO
     versioned_ledger = node.ledgers.get(call.service)
     decision.record(
         log,
-        logging.DEBUG if is_success else logging.INFO,
+        logging.DEBUG if is_success else level,
         "request",
         id=call.request_id,
         service=call.service,
--- a/tests/process/observation/test_output.py
+++ b/tests/process/observation/test_output.py
@@ -31,6 +31,21 @@
     assert "id=r2" in read_all(reader)
 
 
+def test_storm_of_refusals_omits_no_line_of_a_request_that_may_have_run() -> None:
+    """Guards against a log without the few requests that were lost among thousands of refusals."""
+    reader, writer = os.pipe()
+    out = output.open_output(writer, lambda: 0.0)
+    output.configure(out, decision.LogForm.KEY_VALUE, "INFO")
+    log = logging.getLogger("ebonyvalve.test")
+    for _ in range(int(output.BURST_LINES) + 100):
+        decision.record(log, logging.INFO, "request", id="r1", reason="queue-full")
+    decision.record(log, logging.WARNING, "request", id="r2", outcome="unknown")
+    assert "id=r2" in read_all(reader)
+    for _ in range(int(output.BURST_LINES) + 100):
+        decision.record(log, logging.WARNING, "request", id="r3", outcome="unknown")
+    assert len(read_all(reader).splitlines()) < output.BURST_LINES
+
+
 def test_full_pipe_is_never_waited_for() -> None:
     """A reader that has stopped reading must not block the node."""
     reader, writer = os.pipe()
