Log requests whose connection is closed without an answer

A request that was cancelled at the end of the process, and one that crossed the close of an idle or a stopping connection, left no line, so that the closed connections of a planned stop could not be told apart. unanswered names the request, whether an answer had begun and whether the body had been read; request-unread is a connection that was closed with unread bytes.

--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -149,6 +149,18 @@
     return not is_readable and has_no_trailing_data(wire)
 
 
+def has_unread(wire: Wire) -> bool:
+    """Return whether a peer that is still connected has sent bytes that weren't read.
+
+    :param wire: a server side between two requests.
+    """
+    if is_closed_by_peer(wire):
+        return False
+    stream = wire.stream
+    is_readable = isinstance(stream, trio.SocketStream) and stream.socket.is_readable()
+    return is_readable or bool(wire.http.trailing_data[0])
+
+
 def has_no_trailing_data(wire: Wire) -> bool:
     """Return whether no bytes and no close follow the message that was read last.
 
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -27,6 +27,9 @@
 PREFIX_TIMEOUT_S = 10.0
 PREFIX_BYTES = 4096
 
+# States of a server whose reply hasn't been written to its end.
+INCOMPLETE_STATES = frozenset({h11.SEND_RESPONSE, h11.SEND_BODY, h11.ERROR})
+
 TOKEN_HEADER = b"ebonyvalve-token"
 DEADLINE_HEADER = b"ebonyvalve-deadline-ms"
 REQUEST_ID_HEADER = b"ebonyvalve-request-id"
@@ -100,6 +103,7 @@
             pass
     finally:
         front.connections -= 1
+        _record_unread(front, conn)
         await wire.close(conn)
 
 
@@ -137,6 +141,15 @@
         reason = f"body of {call.length} bytes exceeds the limit of {max_body_bytes} bytes"
         await _reply_error(conn, outcome.refuse(outcome.Reason.BAD_REQUEST), reason)
         return False
+    try:
+        return await _answer(incoming, call)
+    finally:
+        _record_unanswered(incoming, call)
+
+
+async def _answer(incoming: Incoming, call: exchange.Call) -> bool:
+    """Answer a request whose head was read; return whether the connection can serve another one."""
+    front, conn = incoming.front, incoming.conn
     caller = build_caller(incoming)
     if not await _buffer_prefix(call, caller):
         await _reply_error(conn, outcome.refuse(outcome.Reason.BODY_BROKEN), "body broke off")
@@ -149,6 +162,39 @@
     return await _finish_exchange(front, incoming)
 
 
+def _record_unanswered(incoming: Incoming, call: exchange.Call) -> None:
+    """Log a request whose connection this node closes before the reply is complete."""
+    conn, front = incoming.conn, incoming.front
+    is_incomplete = conn.is_writing or conn.http.our_state in INCOMPLETE_STATES
+    if not is_incomplete or wire.is_closed_by_peer(conn):
+        return
+    decision.record(
+        log,
+        logging.WARNING,
+        "unanswered",
+        id=call.request_id,
+        hop=front.is_hop,
+        begun=conn.http.our_state is not h11.SEND_RESPONSE,
+        body_read=call.is_body_buffered or incoming.is_body_read,
+        stopping=front.is_stopping,
+        took_ms=int((front.now() - call.arrived_at_s) * 1000),
+        left_ms=int((call.deadline_at_s - front.now()) * 1000),
+    )
+
+
+def _record_unread(front: Front, conn: wire.Wire) -> None:
+    """Log a connection that is closed although bytes of a further request have arrived."""
+    if conn.http.our_state is h11.IDLE and wire.has_unread(conn):
+        decision.record(
+            log,
+            logging.WARNING,
+            "request-unread",
+            hop=front.is_hop,
+            reused=conn.is_reused,
+            stopping=front.is_stopping,
+        )
+
+
 async def _receive_head(front: Front, conn: wire.Wire) -> h11.Request | wire.WireFailure | None:
     """Return the next head, or ``None`` if the connection ended between requests."""
     if front.is_stopping:
