Refuse requests that arrive during a stop instead of losing them

What callers saw: a request that was arriving when a node stopped, or that came on a new connection just before the process ended, had its connection closed without an answer. An order that came from another node that way ended with a 502 there although no target had been reached.

Cause: the stop counted a request only after the beginning of its body had been read, and only from then on waited for it. Connections that were accepted later were closed unread, and the answers to callers said "Connection: close" only after the node had been taken out.

Ruled out: a longer wait alone, as what arrives at its end would be lost in the same way.

Now answers ask callers to leave from the signal on. It ends before the end of the grace period only if no connection has a byte of a request, and none was refused for 0.25 s.

--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -32,7 +32,8 @@
     TIMEOUT = "timeout"
 
 
-@dataclasses.dataclass(kw_only=True)
+# Compared by identity, so that connections can be members of a set.
+@dataclasses.dataclass(kw_only=True, eq=False)
 class Wire:
     """One HTTP/1.1 connection.
 
@@ -149,6 +150,15 @@
     return not is_readable and has_no_trailing_data(wire)
 
 
+def is_between_requests(wire: Wire) -> bool:
+    """Return whether no byte of a request was read since the last exchange ended.
+
+    :param wire: a server side.
+    """
+    is_idle = wire.http.their_state is h11.IDLE and wire.http.our_state is h11.IDLE
+    return is_idle and has_no_trailing_data(wire)
+
+
 def has_no_trailing_data(wire: Wire) -> bool:
     """Return whether no bytes and no close follow the message that was read last.
 
--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -49,6 +49,9 @@
 EXIT_MARGIN_S = 0.5
 SWEEP_INTERVAL_S = 0.25
 DRAIN_POLL_INTERVAL_S = 0.02
+# The process ends early only if no request has arrived for this long, since one that is on its way
+# would be lost.
+QUIET_S = 0.25
 MAX_CONNECTIONS = 2000
 # Limits of a message from another node, which itself gives up sooner.
 MAX_PUSH_BYTES = 1_048_576
@@ -181,9 +184,12 @@
         peers=pool.Pool(connect=sockets.connect, now=now, max_connections=512),
         current=traffic.CurrentTraffic(),
     )
+    serve_caller = functools.partial(handle_caller, entry)
+    serve_peer = functools.partial(handle_peer, entry, reconciler)
     callers = front.Front(
         now=now,
-        handle=functools.partial(handle_caller, entry),
+        handle=serve_caller,
+        refuse=serve_caller,
         find_limits=functools.partial(find_limits, entry.current),
         is_hop=False,
         parse=dialect.build_parse(now),
@@ -192,7 +198,8 @@
     )
     peers = front.Front(
         now=now,
-        handle=functools.partial(handle_peer, entry, reconciler),
+        handle=serve_peer,
+        refuse=serve_peer,
         find_limits=functools.partial(find_limits, entry.current),
         is_hop=True,
         parse=dialect.build_parse(now),
@@ -400,15 +407,25 @@
     """
     grace_s = daemon.node.place.grace_s - EXIT_MARGIN_S
     daemon.node.is_stopping = True
+    front.drain(daemon.callers)
     with trio.move_on_after(grace_s):
         await node_module.pause(daemon.node, UNREADY_S)
         daemon.node.is_ending = True
         front.stop(daemon.callers)
-        poll_ticks = timer.subscribe(daemon.timer, period_s=DRAIN_POLL_INTERVAL_S)
-        while daemon.callers.active_requests or daemon.peers.active_requests:
-            await timer.tick(daemon.timer, poll_ticks)
+        front.stop(daemon.peers)
+        await wait_until_quiet(daemon)
     delivery.lift_shields(daemon.origin.delivery)
 
 
+async def wait_until_quiet(daemon: Daemon) -> None:
+    """Wait until no request is in any phase and none has arrived for ``QUIET_S``.
+
+    :param daemon: a daemon that refuses new requests.
+    """
+    poll_ticks = timer.subscribe(daemon.timer, period_s=DRAIN_POLL_INTERVAL_S)
+    while not (front.is_quiet(daemon.callers, QUIET_S) and front.is_quiet(daemon.peers, QUIET_S)):
+        await timer.tick(daemon.timer, poll_ticks)
+
+
 if __name__ == "__main__":
     main()
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -44,6 +44,24 @@
 Parse = collections.abc.Callable[["Front", h11.Request], exchange.Call | str]
 
 
+async def refuse_stopping(_: exchange.Call, caller: exchange.Caller) -> outcome.Outcome:
+    """Reply that the node stops and that the request has not run.
+
+    :param caller: receives the reply.
+    """
+    refusal = outcome.refuse(outcome.Reason.STOPPING)
+    body = f"{refusal.verdict.value}: {refusal.reason.value}\n".encode()
+    headers = [
+        (b"content-type", b"text/plain; charset=utf-8"),
+        (b"content-length", str(len(body)).encode()),
+        (b"retry-after", b"1"),
+        *build_outcome_headers(refusal),
+    ]
+    if await caller.reply(refusal.status, headers) and await caller.write(body):
+        await caller.finish()
+    return refusal
+
+
 @dataclasses.dataclass(kw_only=True)
 class Front:
     """The state and settings of one listener.
@@ -53,6 +71,11 @@
     of a request; the default is :func:`parse_call`. Idle connections are closed after
     ``idle_timeout_s``. With ``coalesces_head`` the head of a reply is sent together with the first
     part of its body, which saves a write.
+
+    While ``is_stopping``, answers say that the connection closes after them. While ``is_refusing``,
+    requests are given to ``refuse`` as soon as their head was read, also those whose body was still
+    arriving. ``refused_at_s`` is when that last happened. ``body_scopes`` are the cancel scopes of
+    the bodies that are being read.
     """
 
     now: collections.abc.Callable[[], float]
@@ -63,11 +86,12 @@
     idle_timeout_s: float = IDLE_TIMEOUT_S
     coalesces_head: bool = False
     max_connections: int = 1000
-    connections: int = 0
-    # Requests that have been read and whose replies are not complete yet.
-    active_requests: int = 0
+    refuse: Handle = refuse_stopping
+    conns: set[wire.Wire] = dataclasses.field(default_factory=set)
     is_stopping: bool = False
-    idle_scopes: set[trio.CancelScope] = dataclasses.field(default_factory=set)
+    is_refusing: bool = False
+    refused_at_s: float = float("-inf")
+    body_scopes: set[trio.CancelScope] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -89,30 +113,61 @@
     :param front: the listener's state.
     :param stream: the accepted connection.
     """
-    if front.connections >= front.max_connections:
+    if len(front.conns) >= front.max_connections:
         await trio.aclose_forcefully(stream)
         decision.record(log, logging.WARNING, "connection-refused", reason="too-many-connections")
         return
-    front.connections += 1
     conn = wire.open_server(stream)
+    front.conns.add(conn)
     try:
         while await _serve_one(front, conn):
             pass
     finally:
-        front.connections -= 1
+        front.conns.discard(conn)
         await wire.close(conn)
 
 
-def stop(front: Front) -> None:
-    """Close idle connections; those with a request in flight close after it.
+def drain(front: Front) -> None:
+    """Ask callers to leave: every answer from now on is the last one on its connection.
 
     :param front: the listener's state.
     """
     front.is_stopping = True
-    for scope in front.idle_scopes:
+
+
+def stop(front: Front) -> None:
+    """Refuse all requests that have not been given to the handler yet.
+
+    Connections stay open, so that a request that is on its way is answered rather than lost.
+
+    :param front: the listener's state.
+    """
+    front.is_stopping = front.is_refusing = True
+    front.refused_at_s = front.now()
+    for scope in front.body_scopes:
         scope.cancel()
 
 
+def is_busy(front: Front) -> bool:
+    """Return whether a connection has a request in any phase, from its first byte on.
+
+    :param front: the listener's state.
+    """
+    return not all(wire.is_between_requests(conn) for conn in front.conns)
+
+
+def is_quiet(front: Front, quiet_s: float) -> bool:
+    """Return whether no request is in any phase, and none was refused for some time.
+
+    :param front: the listener's state.
+    :param quiet_s: the time in seconds.
+    """
+    if is_busy(front) or front.now() < front.refused_at_s + quiet_s:
+        return False
+    # The check of the sockets takes a system call for each.
+    return all(wire.is_quiet(conn) for conn in front.conns)
+
+
 async def _serve_one(front: Front, conn: wire.Wire) -> bool:
     """Serve the next request of a connection; return whether it can serve another one."""
     head = await _receive_head(front, conn)
@@ -138,28 +193,24 @@
         await _reply_error(conn, outcome.refuse(outcome.Reason.BAD_REQUEST), reason)
         return False
     caller = build_caller(incoming)
-    if not await _buffer_prefix(call, caller):
+    is_intact = front.is_refusing or await _buffer_prefix(front, call, caller)
+    if front.is_refusing:
+        refused = await front.refuse(call, caller)
+        if refused.verdict is outcome.Verdict.NOT_RUN:
+            front.refused_at_s = front.now()
+    elif is_intact:
+        await front.handle(call, caller)
+    else:
         await _reply_error(conn, outcome.refuse(outcome.Reason.BODY_BROKEN), "body broke off")
         return False
-    front.active_requests += 1
-    try:
-        await front.handle(call, caller)
-    finally:
-        front.active_requests -= 1
-    return await _finish_exchange(front, incoming)
+    return await _finish_exchange(incoming)
 
 
 async def _receive_head(front: Front, conn: wire.Wire) -> h11.Request | wire.WireFailure | None:
     """Return the next head, or ``None`` if the connection ended between requests."""
-    if front.is_stopping:
-        return None
     timeout_s = front.idle_timeout_s if conn.is_reused else HEAD_TIMEOUT_S
-    with trio.move_on_after(timeout_s) as scope:
-        front.idle_scopes.add(scope)
-        try:
-            received = await wire.receive(conn)
-        finally:
-            front.idle_scopes.discard(scope)
+    with trio.move_on_after(timeout_s):
+        received = await wire.receive(conn)
         if isinstance(received, result.Failure):
             failure: wire.WireFailure = received.failure()
             return failure
@@ -223,19 +274,23 @@
     return int(wire.find_header(headers, b"content-length") or 0)
 
 
-async def _buffer_prefix(call: exchange.Call, caller: exchange.Caller) -> bool:
+async def _buffer_prefix(front: Front, call: exchange.Call, caller: exchange.Caller) -> bool:
     """Read the beginning of the body; return whether it is intact."""
-    with trio.move_on_after(PREFIX_TIMEOUT_S):
-        while len(call.prefix) < PREFIX_BYTES:
-            chunk = await caller.receive()
-            if isinstance(chunk, result.Failure):
-                return False
-            data = chunk.unwrap()
-            if not data:
-                call.is_body_buffered = True
-                return True
-            call.prefix += data
-        return True
+    with trio.move_on_after(PREFIX_TIMEOUT_S) as scope:
+        front.body_scopes.add(scope)
+        try:
+            while len(call.prefix) < PREFIX_BYTES:
+                chunk = await caller.receive()
+                if isinstance(chunk, result.Failure):
+                    return False
+                data = chunk.unwrap()
+                if not data:
+                    call.is_body_buffered = True
+                    return True
+                call.prefix += data
+            return True
+        finally:
+            front.body_scopes.discard(scope)
     return False
 
 
@@ -319,12 +374,12 @@
     return result.Failure(exchange.BodyFailure.BROKEN)
 
 
-async def _finish_exchange(front: Front, incoming: Incoming) -> bool:
+async def _finish_exchange(incoming: Incoming) -> bool:
     """Return whether the connection can serve another request."""
     conn = incoming.conn
     if conn.http.our_state is h11.DONE and not incoming.is_body_read:
         await _linger(incoming)
-    return wire.recycle(conn) and not front.is_stopping
+    return wire.recycle(conn)
 
 
 async def _linger(incoming: Incoming) -> None:
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -62,6 +62,8 @@
 NOT_RUN_STATUS = 503
 # The outcome of a request whose caller had left before it was read.
 ABANDONED = outcome.unknown(outcome.Reason.CALLER_GONE)
+# The outcome of a request that arrives when the process is about to end.
+STOPPING = outcome.refuse(outcome.Reason.STOPPING)
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -138,7 +140,7 @@
     if _is_abandoned(origin.node, caller):
         _record(origin, call, ABANDONED, started_at, [])
         return ABANDONED
-    refusal = resolve(origin, call, head)
+    refusal = STOPPING if origin.node.is_ending else resolve(origin, call, head)
     if refusal is not None:
         await send_refusal(caller, refusal, RETRY_AFTER_S)
         _record(origin, call, refusal, started_at, [])
@@ -412,6 +414,9 @@
             status, hop_headers.strip_headers(headers) + hop_headers.build_load_headers(node)
         )
 
+    if node.is_ending:
+        completion = delivery.Completion(result=STOPPING, retry_after_s=delivery.RESTARTING_RETRY_S)
+        return await _report_hop_failure(origin, call, caller, completion, started_at)
     if not lag.can_serve(node.loop_lag, call.deadline_at_s - started_at):
         completion = delivery.Completion(
             result=outcome.refuse(outcome.Reason.BEHIND), retry_after_s=RETRY_AFTER_S
--- /dev/null
+++ b/tests/platform/test_stop.py
@@ -0,0 +1,58 @@
+"""Tests of the planned stop of a node, with callers and other nodes that go on sending."""
+
+import pytest
+import trio
+
+from ebonyvalve.platform import daemon
+from ebonyvalve.process import network
+from tests.platform import mesh as mesh_module
+
+# The grace period of the nodes in the mesh.
+GRACE_S = 6.0
+
+
+@pytest.mark.parametrize("is_hop", [False, True], ids=["caller", "node"])
+@pytest.mark.parametrize("sent", [20, -3], ids=["part-of-head", "part-of-body"])
+async def test_stop_waits_for_a_request_that_is_arriving(sent: int, is_hop: bool) -> None:
+    """Guards against a process that ends early while a request arrives, which is then lost."""
+    async with mesh_module.open_mesh(["orders", "lookup"]) as mesh:
+        client = await mesh_module.open_client(mesh.outbound[1])
+        await mesh_module.wait_status(client, 200, "/orders/warm")
+        place = mesh.daemons[0].node.place
+        request = (
+            f"POST /orders/x HTTP/1.1\r\nhost: {mesh_module.HOST}\r\nx-attempt-id: late\r\n"
+            "content-length: 6\r\n"
+        )
+        if is_hop:
+            request += (
+                "ebonyvalve-service: orders\r\nebonyvalve-deadline-ms: 2000\r\n"
+                "ebonyvalve-origin: lookup\r\nebonyvalve-rules: 0,2,1,300,,r\r\n"
+            )
+        data = f"{request}\r\nabcdef".encode()
+        address = place.peers_address if is_hop else place.callers_address
+        stream = await network.connect_tcp(address)
+        stopped = trio.Event()
+
+        async def stop() -> None:
+            await daemon.stop(mesh.daemons[0])
+            stopped.set()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stop)
+            await trio.sleep(daemon.UNREADY_S - 0.5)
+            await stream.send_all(data[:sent])
+            await trio.sleep(1.5)
+            assert sent < 0 or not stopped.is_set()
+            await stream.send_all(data[sent:])
+            assert b"503" in bytes(await stream.receive_some(4096)).split(b"\r\n")[0]
+            await stream.aclose()
+        assert "late" not in mesh.targets[0].received_ids
+
+
+async def test_idle_node_ends_soon() -> None:
+    """Guards against a stop that takes the whole grace period though nobody sends a request."""
+    async with mesh_module.open_mesh(["orders", "lookup"]) as mesh:
+        client = await mesh_module.open_client(mesh.outbound[1])
+        await mesh_module.wait_status(client, 200, "/orders/warm")
+        with trio.fail_after(GRACE_S - 1.0):
+            await daemon.stop(mesh.daemons[0])
--- a/tests/request/test_front.py
+++ b/tests/request/test_front.py
@@ -238,3 +238,74 @@
     """Guards against passing on Content-Length, which may be wrong, beside a chunked body."""
     assert front.find_length(headers) == length
     assert (b"content-length", b"5") not in dispatch.filter_headers(headers) or length == 5
+
+
+POST = b"POST /a/b HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\nabcdef"
+BODY_AT = len(POST) - 6
+
+
+@pytest.mark.parametrize("is_kept", [False, True], ids=["new", "kept"])
+@pytest.mark.parametrize(
+    ("before", "after"),
+    [
+        pytest.param(b"", GOOD, id="nothing"),
+        pytest.param(GOOD[:20], GOOD[20:], id="part-of-head"),
+    ],
+)
+async def test_request_that_arrives_during_a_stop_is_refused(
+    autojump_clock: trio.testing.MockClock, before: bytes, after: bytes, is_kept: bool
+) -> None:
+    """Guards against a stop that closes a connection on which a request arrives."""
+    listener = build_front()
+    near, far = trio.testing.memory_stream_pair()
+    received = bytearray()
+
+    async def read() -> None:
+        while part := await near.receive_some(65_536):
+            received.extend(part)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(front.serve, listener, far)
+        nursery.start_soon(read)
+        if is_kept:
+            await near.send_all(GOOD)
+            await trio.sleep(0.1)
+        await near.send_all(before)
+        await trio.sleep(0.1)
+        front.stop(listener)
+        await trio.sleep(0.1)
+        await near.send_all(after)
+        await trio.sleep(0.1)
+        await near.send_eof()
+    replies = received.split(b"HTTP/1.1 ")[1:]
+    assert [reply[:3] for reply in replies] == ([b"200"] if is_kept else []) + [b"503"]
+    assert b"ebonyvalve-outcome: not-run" in replies[-1]
+    assert b"connection: close" in replies[-1].lower()
+
+
+async def test_answers_during_a_stop_ask_the_caller_to_leave(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against kept connections that are used until the process ends."""
+    listener = build_front()
+    front.drain(listener)
+    reply = await exchange_bytes(listener, GOOD)
+    assert reply.startswith(b"HTTP/1.1 200") and b"connection: close" in reply.lower()
+
+
+@pytest.mark.parametrize("sent", [0, 1, 20, len(GOOD), BODY_AT + len(GOOD), len(GOOD + POST) - 1])
+async def test_connection_with_a_part_of_a_request_is_busy(
+    autojump_clock: trio.testing.MockClock, sent: int
+) -> None:
+    """Guards against a process that ends while the head or body of a request arrives."""
+    listener = build_front()
+    near, far = trio.testing.memory_stream_pair()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(front.serve, listener, far)
+        await near.send_all((GOOD + POST)[:sent])
+        await trio.sleep(0.1)
+        assert front.is_busy(listener) is (sent not in (0, len(GOOD)))
+        await near.send_all((GOOD + POST)[sent:])
+        await trio.sleep(0.1)
+        assert not front.is_busy(listener)
+        nursery.cancel_scope.cancel()
