Read what a caller still sends before its connection is closed

What callers saw: an answer that was on its way was destroyed by a reset, or a caller that was still sending got a reset in place of its refusal.

Cause: after an answer with "Connection: close" h11 is in the state MUST_CLOSE, for which the rest of the body was not read, and further requests on the connection never were. After a refusal of an invalid request, reading ended at 32 KB. A close with unread bytes resets the connection.

A caller that has read its answer closes at once, so nothing waits for long.

--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -327,6 +327,25 @@
     return not is_closed
 
 
+async def drain(wire: Wire) -> None:
+    """Announce the close of the connection, and discard what the peer sends until it closes too.
+
+    A close with unread bytes resets the connection, and the peer may lose a reply that it has not
+    read yet. The caller bounds the time.
+
+    :param wire: a server side that has sent its last reply.
+    """
+    stream = wire.stream
+    try:
+        if isinstance(stream, trio.abc.HalfCloseableStream):
+            await stream.send_eof()
+        while await stream.receive_some(READ_BYTES):
+            pass
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        # The peer has closed the connection already.
+        return
+
+
 async def close(wire: Wire) -> None:
     """Close the connection at once, without completing a message that is being sent.
 
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -378,15 +378,17 @@
     """Return whether the connection can serve another request."""
     conn = incoming.conn
     if conn.http.our_state is h11.DONE and not incoming.is_body_read:
-        await _linger(incoming)
-    return wire.recycle(conn)
-
+        await _skip_body(incoming)
+    if wire.recycle(conn):
+        return True
+    if conn.http.our_state in (h11.DONE, h11.MUST_CLOSE):
+        with trio.move_on_after(LINGER_S):
+            await wire.drain(conn)
+    return False
 
-async def _linger(incoming: Incoming) -> None:
-    """Read for a short time, since closing with unread data would reset the connection.
 
-    The caller could then lose the reply that is still in flight.
-    """
+async def _skip_body(incoming: Incoming) -> None:
+    """Read the rest of the body for a short time, so that the connection can be used again."""
     with trio.move_on_after(LINGER_S):
         while True:
             chunk = await _receive_body(incoming)
@@ -407,7 +409,7 @@
         head = h11.Response(status_code=refusal.status, headers=headers)
         await wire.send(conn, head, h11.Data(data=body), h11.EndOfMessage())
         with trio.move_on_after(LINGER_S):
-            await wire.read_until_closed(conn)
+            await wire.drain(conn)
 
 
 def build_outcome_headers(result_: outcome.Outcome) -> exchange.Headers:
--- a/tests/request/test_front.py
+++ b/tests/request/test_front.py
@@ -250,6 +250,8 @@
     [
         pytest.param(b"", GOOD, id="nothing"),
         pytest.param(GOOD[:20], GOOD[20:], id="part-of-head"),
+        pytest.param(POST[:BODY_AT], POST[BODY_AT:], id="head"),
+        pytest.param(POST[: BODY_AT + 3], POST[BODY_AT + 3 :], id="part-of-body"),
     ],
 )
 async def test_request_that_arrives_during_a_stop_is_refused(
@@ -309,3 +311,49 @@
         await trio.sleep(0.1)
         assert not front.is_busy(listener)
         nursery.cancel_scope.cancel()
+
+
+async def serve_on_sockets(listener: front.Front, data: bytes) -> bytes:
+    """Send bytes on a TCP connection, pause, and return what can be read before it closes."""
+    received = bytearray()
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        address = listeners[0].socket.getsockname()
+        nursery.start_soon(
+            trio.serve_listeners, functools.partial(front.serve, listener), listeners
+        )
+        near = await trio.open_tcp_stream(*address)
+        await near.send_all(data)
+        # The caller reads late, when the server has closed its end.
+        await trio.sleep(0.2)
+        while part := await near.receive_some(65_536):
+            received.extend(part)
+        await near.aclose()
+        nursery.cancel_scope.cancel()
+    return bytes(received)
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        pytest.param(POST[:BODY_AT].replace(b" 6", b" 19000") + b"a" * 19_000, b"200", id="body"),
+        pytest.param(GOOD + GOOD * 2000, b"200", id="further-requests"),
+        pytest.param(b"nonsense\r\n\r\n" + b"a" * 200_000, b"400", id="malformed"),
+        pytest.param(
+            POST[:BODY_AT].replace(b" 6", b" 200000") + b"a" * 200_000, b"400", id="too-long"
+        ),
+    ],
+)
+async def test_last_answer_survives_unread_bytes(data: bytes, status: bytes) -> None:
+    """Guards against a close with unread bytes, whose reset destroys the answer before it."""
+
+    async def answer_early(call: exchange.Call, caller: exchange.Caller) -> outcome.Outcome:
+        await caller.reply(200, [(b"content-length", b"0")])
+        await caller.finish()
+        return outcome.Outcome(verdict=outcome.Verdict.ANSWERED, status=200)
+
+    listener = build_front()
+    listener.handle = answer_early
+    front.drain(listener)
+    reply = await serve_on_sockets(listener, data)
+    assert reply.startswith(b"HTTP/1.1 " + status)
