Answer the requests that are left at the end of the grace period

What callers saw: at the end of a stop, requests that were still in flight had their connection closed without an answer, also those that had not been sent to any target. Requests that waited for admission or for a key at a stopping node were refused only when their turn came.

Cause: the process cancelled all tasks 0.5 s before the end of the grace period, and the code that writes the answers was cancelled with them.

Now the requests in flight are cancelled first, and 0.25 s are reserved for their answers: 503 if no byte was sent to a target or node that may have run the request, 502 otherwise. Heads that are half there are refused too. Requests that wait here are refused at once when the node takes no more, so that the node at which they entered can try others. What a target works on is broken off no earlier than before.

--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -45,8 +45,10 @@
 # The platform probes once a second and removes a node after two failures; until then requests may
 # still arrive.
 UNREADY_S = 2.3
-# The part of the grace period that is kept for the exit of the process.
+# The part of the grace period that is kept for the last answers and the exit of the process.
 EXIT_MARGIN_S = 0.5
+# The part of that margin in which the last answers are written.
+LAST_ANSWERS_S = 0.25
 SWEEP_INTERVAL_S = 0.25
 DRAIN_POLL_INTERVAL_S = 0.02
 # The process ends early only if no request has arrived for this long, since one that is on its way
@@ -401,7 +403,7 @@
 
     The target keeps running and can only be reached through this node, so it gets requests until
     callers have moved to other nodes. After that, new requests are refused and those in flight are
-    completed within the grace period.
+    completed within the grace period. What is left at its end gets an answer of this node.
 
     :param daemon: the daemon.
     """
@@ -413,8 +415,14 @@
         daemon.node.is_ending = True
         front.stop(daemon.callers)
         front.stop(daemon.peers)
+        delivery.refuse_waiting(daemon.origin.delivery)
+        await wait_until_quiet(daemon)
+        return
+    origin.cut_off(daemon.origin)
+    front.cut_off(daemon.callers)
+    front.cut_off(daemon.peers)
+    with trio.move_on_after(LAST_ANSWERS_S):
         await wait_until_quiet(daemon)
-    delivery.lift_shields(daemon.origin.delivery)
 
 
 async def wait_until_quiet(daemon: Daemon) -> None:
--- a/src/ebonyvalve/request/attempt.py
+++ b/src/ebonyvalve/request/attempt.py
@@ -111,6 +111,7 @@
             attempt_result.is_ended = True
             pool.release_unused(context.pool, connection)
             return
+        call.may_have_run = True
         try:
             with connection.scope:
                 await dispatch.run(
--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -72,7 +72,7 @@
     """State shared by the requests at this node's target.
 
     ``waiters`` maps the tickets of queued requests to the events that wake them; ``expired`` holds
-    those that were woken because they can no longer meet their deadline.
+    those that were woken because they can no longer run in time.
     """
 
     node: node_module.Node
@@ -150,6 +150,8 @@
     if admitted.verdict is admission.Verdict.WAIT and not await _wait_in_queue(
         delivery, admitted.ticket
     ):
+        if node.is_ending:
+            return _refuse_stopping()
         return Completion(
             result=outcome.refuse(outcome.Reason.DEADLINE), retry_after_s=node.admission.work_s
         )
@@ -189,9 +191,7 @@
     if call.service != node.place.service:
         return Completion(result=outcome.refuse(outcome.Reason.MOVED))
     if node.is_ending:
-        return Completion(
-            result=outcome.refuse(outcome.Reason.STOPPING), retry_after_s=RESTARTING_RETRY_S
-        )
+        return _refuse_stopping()
     if not node_module.is_open(node):
         # A leaving target serves its keys until they have been handed over.
         until = node.closed_at + node.place.drain_s - HANDOVER_MARGIN_S
@@ -203,6 +203,8 @@
     if rules.key_slot is None:
         return None
     while True:
+        if node.is_ending:
+            return _refuse_stopping()
         key_refusal = _find_key_refusal(node, rules.key_slot)
         if key_refusal is None:
             return None
@@ -219,6 +221,12 @@
             return key_refusal
 
 
+def _refuse_stopping() -> Completion:
+    return Completion(
+        result=outcome.refuse(outcome.Reason.STOPPING), retry_after_s=RESTARTING_RETRY_S
+    )
+
+
 def predict_grant_delay(node: node_module.Node) -> float:
     """Return the seconds until the target may have the keys that are being moved to it.
 
@@ -295,6 +303,19 @@
             event.set()
 
 
+def refuse_waiting(delivery: Delivery) -> None:
+    """Refuse the requests that wait for admission or for a key, once the node is ending.
+
+    :param delivery: the state shared by the target's requests.
+    """
+    for ticket, event in delivery.waiters.items():
+        if not event.is_set():
+            admission.withdraw(delivery.node.admission, ticket)
+            delivery.expired.add(ticket)
+            event.set()
+    node_module.notify_changed(delivery.node)
+
+
 async def run_queue(delivery: Delivery) -> None:
     """Check the queue periodically, and measure the lag of the event loop, until cancelled.
 
--- a/src/ebonyvalve/request/exchange.py
+++ b/src/ebonyvalve/request/exchange.py
@@ -48,7 +48,8 @@
 
     ``prefix`` is the beginning of the body, buffered so that the request can be fingerprinted and
     sent again; ``is_body_buffered`` says whether it is the whole body. ``length`` is in bytes, or
-    ``None`` for a body of unknown length. ``arrived_at_s`` is when the kernel received the head,
+    ``None`` for a body of unknown length. ``may_have_run`` is set from the first byte sent to a
+    target or node until that refuses it. ``arrived_at_s`` is when the kernel received the head,
     which may be some time before it was read; time budgets count from then. Times are seconds on
     the node's clock.
     """
@@ -66,6 +67,7 @@
     token: str | None = None
     prefix: bytes = b""
     is_body_buffered: bool = False
+    may_have_run: bool = False
     rules: Rules | None = None
 
 
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -74,8 +74,8 @@
 
     While ``is_stopping``, answers say that the connection closes after them. While ``is_refusing``,
     requests are given to ``refuse`` as soon as their head was read, also those whose body was still
-    arriving. ``refused_at_s`` is when that last happened. ``body_scopes`` are the cancel scopes of
-    the bodies that are being read.
+    arriving. ``refused_at_s`` is when that last happened. ``head_scopes`` holds the cancel scopes
+    of the reads of a head by connection, ``body_scopes`` those of the bodies that are being read.
     """
 
     now: collections.abc.Callable[[], float]
@@ -91,6 +91,7 @@
     is_stopping: bool = False
     is_refusing: bool = False
     refused_at_s: float = float("-inf")
+    head_scopes: dict[wire.Wire, trio.CancelScope] = dataclasses.field(default_factory=dict)
     body_scopes: set[trio.CancelScope] = dataclasses.field(default_factory=set)
 
 
@@ -148,6 +149,16 @@
         scope.cancel()
 
 
+def cut_off(front: Front) -> None:
+    """Refuse the requests whose head is still arriving.
+
+    :param front: the state of a listener that refuses requests.
+    """
+    for conn, scope in front.head_scopes.items():
+        if not wire.is_between_requests(conn):
+            scope.cancel()
+
+
 def is_busy(front: Front) -> bool:
     """Return whether a connection has a request in any phase, from its first byte on.
 
@@ -209,14 +220,21 @@
 async def _receive_head(front: Front, conn: wire.Wire) -> h11.Request | wire.WireFailure | None:
     """Return the next head, or ``None`` if the connection ended between requests."""
     timeout_s = front.idle_timeout_s if conn.is_reused else HEAD_TIMEOUT_S
-    with trio.move_on_after(timeout_s):
-        received = await wire.receive(conn)
+    with trio.move_on_after(timeout_s) as scope:
+        front.head_scopes[conn] = scope
+        try:
+            received = await wire.receive(conn)
+        finally:
+            del front.head_scopes[conn]
         if isinstance(received, result.Failure):
             failure: wire.WireFailure = received.failure()
             return failure
         event = received.unwrap()
         if isinstance(event, h11.Request):
             return event
+    if front.is_refusing and not wire.is_between_requests(conn):
+        refusal = outcome.refuse(outcome.Reason.STOPPING)
+        await _reply_error(conn, refusal, "the node is stopping")
     return None
 
 
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -68,12 +68,18 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Origin:
-    """State shared by the requests that enter the mesh at this node."""
+    """State shared by the requests that enter the mesh at this node, or come from other nodes.
+
+    ``scopes`` are the cancel scopes of those in flight. ``is_cut_off`` is set when the time that is
+    left for them before the process ends is over.
+    """
 
     node: node_module.Node
     delivery: delivery.Delivery
     peers: pool.Pool
     current: traffic.CurrentTraffic
+    scopes: set[trio.CancelScope] = dataclasses.field(default_factory=set)
+    is_cut_off: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -149,7 +155,7 @@
     buffered_caller = buffering.buffer_reply(caller)
     tried: list[identity.NodeId] = []
     completion, is_caller_gone = await _run_cancellable(
-        origin.node, call, caller, functools.partial(_try_all, origin, call, buffered_caller, tried)
+        origin, call, caller, functools.partial(_try_all, origin, call, buffered_caller, tried)
     )
     is_reply_begun = caller.is_reply_begun()
     result = completion.result
@@ -172,25 +178,37 @@
     return lag.is_lagging(node.loop_lag) and caller.is_gone()
 
 
+def cut_off(origin: Origin) -> None:
+    """End all requests in flight: refuse those that have not run, fail those that may have.
+
+    :param origin: the state of a node whose process is about to end.
+    """
+    origin.is_cut_off = True
+    delivery.lift_shields(origin.delivery)
+    for scope in origin.scopes:
+        scope.cancel()
+
+
 async def _run_cancellable(
-    node: node_module.Node,
+    origin: Origin,
     call: exchange.Call,
     caller: exchange.Caller,
     work: collections.abc.Callable[[], collections.abc.Awaitable[delivery.Completion]],
 ) -> tuple[delivery.Completion, bool]:
-    """Run until the deadline or until the caller leaves.
+    """Run until the deadline, until the caller leaves or until the process is about to end.
 
     A non-idempotent request whose body is still arriving is not cancelled when the caller leaves:
     its target may have received part of it already.
 
     :return: the completion, and whether the caller has left.
     """
-    completion = delivery.Completion(result=outcome.unknown(outcome.Reason.DEADLINE))
+    completion: delivery.Completion | None = None
     is_caller_gone = False
     async with trio.open_nursery() as nursery:
         # The node's clock may differ from Trio's clock.
-        remaining_s = max(0.0, call.deadline_at_s - node.now())
+        remaining_s = max(0.0, call.deadline_at_s - origin.node.now())
         nursery.cancel_scope.deadline = trio.current_time() + remaining_s
+        origin.scopes.add(nursery.cancel_scope)
 
         async def watch() -> None:
             nonlocal is_caller_gone
@@ -200,9 +218,21 @@
 
         if call.is_body_buffered or (call.rules is not None and call.rules.is_repeatable):
             nursery.start_soon(watch)
-        completion = await work()
+        try:
+            completion = await work()
+        finally:
+            origin.scopes.discard(nursery.cancel_scope)
         nursery.cancel_scope.cancel()
-    return completion, is_caller_gone
+    return completion or _conclude_cancelled(origin, call), is_caller_gone
+
+
+def _conclude_cancelled(origin: Origin, call: exchange.Call) -> delivery.Completion:
+    """Return the completion of a request that was cancelled before it had one."""
+    if not origin.is_cut_off:
+        return delivery.Completion(result=outcome.unknown(outcome.Reason.DEADLINE))
+    if call.may_have_run:
+        return delivery.Completion(result=outcome.unknown(outcome.Reason.STOPPING))
+    return delivery.Completion(result=STOPPING, retry_after_s=delivery.RESTARTING_RETRY_S)
 
 
 async def _try_all(
@@ -236,6 +266,8 @@
             break
         if verdict is outcome.Verdict.UNKNOWN:
             unknown_count += 1
+        call.may_have_run = unknown_count > 0
+        if verdict is outcome.Verdict.UNKNOWN:
             may_repeat = rules.is_repeatable and unknown_count < rules.max_attempts
             if not may_repeat or not _has_time(origin, call, name):
                 break
@@ -424,7 +456,7 @@
         return await _report_hop_failure(origin, call, caller, completion, started_at)
     hop_caller = dataclasses.replace(caller, reply=reply)
     completion, is_caller_gone = await _run_cancellable(
-        node, call, caller, functools.partial(delivery.run, origin.delivery, call, hop_caller)
+        origin, call, caller, functools.partial(delivery.run, origin.delivery, call, hop_caller)
     )
     is_caller_gone = is_caller_gone or completion.result.reason is outcome.Reason.CALLER_GONE
     if not is_caller_gone and not caller.is_reply_begun():
--- a/tests/platform/mesh.py
+++ b/tests/platform/mesh.py
@@ -11,6 +11,7 @@
 
 from ebonyvalve.platform import daemon, settings
 from ebonyvalve.process import demo, http, network
+from ebonyvalve.process import place as place_module
 from ebonyvalve.standin import metadata, target
 
 KEYED = "lookup"
@@ -23,7 +24,8 @@
     """The running mesh.
 
     ``outbound`` and ``ready`` are the addresses of the nodes for callers and for readiness probes;
-    ``state`` is the store's. The lists are in the order of the nodes.
+    ``state`` is the store's. ``scopes`` end the daemons as the end of their processes would. The
+    lists are in the order of the nodes.
     """
 
     state: metadata.Metadata
@@ -31,6 +33,7 @@
     ready: list[str]
     targets: list[target.Target]
     daemons: list[daemon.Daemon] = dataclasses.field(default_factory=list)
+    scopes: list[trio.CancelScope] = dataclasses.field(default_factory=list)
 
 
 def find_ports(count: int) -> list[int]:
@@ -127,11 +130,22 @@
                 network.listen_tcp, place.target_address, functools.partial(target.serve, served)
             )
             nursery.start_soon(target.report, served)
-            mesh.daemons.append(await nursery.start(daemon.run, place))
+            mesh.scopes.append(trio.CancelScope())
+            mesh.daemons.append(await nursery.start(run_daemon, place, mesh.scopes[-1]))
         yield mesh
         nursery.cancel_scope.cancel()
 
 
+async def run_daemon(
+    place: place_module.Place,
+    scope: trio.CancelScope,
+    *,
+    task_status: trio.TaskStatus[daemon.Daemon] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    with scope:
+        await daemon.run(place, task_status=task_status)
+
+
 @dataclasses.dataclass(kw_only=True)
 class Client:
     """A keep-alive connection of a caller. ``sent`` counts its requests."""
@@ -165,7 +179,10 @@
 async def ask(
     client: Client, method: str, path: str, *, body: bytes = b"", **headers: str
 ) -> tuple[int, dict[str, str], bytes]:
-    """Send a request and return status, headers and body of the response."""
+    """Send a request and return status, headers and body of the response.
+
+    The connection is closed if the response asks for it.
+    """
     client.sent += 1
     extra = {name.replace("_", "-"): value for name, value in headers.items()}
     all_headers = {
@@ -179,7 +196,10 @@
     await http.send_message(client.stream, client.http, head, body)
     reply, content = await http.receive_message(client.stream, client.http)
     assert isinstance(reply, h11.Response)
-    client.http.start_next_cycle()
+    if client.http.our_state is h11.MUST_CLOSE:
+        await client.stream.aclose()
+    else:
+        client.http.start_next_cycle()
     reply_headers = {name.decode(): value.decode() for name, value in reply.headers}
     return reply.status_code, reply_headers, content
 
--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -5,6 +5,7 @@
 
 from ebonyvalve.platform import daemon
 from ebonyvalve.process import network
+from ebonyvalve.standin import metadata
 from tests.platform import mesh as mesh_module
 
 # The grace period of the nodes in the mesh.
@@ -56,3 +57,48 @@
         await mesh_module.wait_status(client, 200, "/orders/warm")
         with trio.fail_after(GRACE_S - 1.0):
             await daemon.stop(mesh.daemons[0])
+
+
+async def test_requests_at_the_end_of_the_grace_get_answers() -> None:
+    """Guards against closing connections without an answer at the end of the grace period.
+
+    A request that waits is refused when the node takes no more, and one that its target works on is
+    not broken off before the end.
+    """
+    async with mesh_module.open_mesh(["orders", "lookup"]) as mesh:
+        for entry in mesh.outbound:
+            client = await mesh_module.open_client(entry)
+            await mesh_module.wait_status(client, 200, "/orders/warm")
+        config = mesh_module.build_config(2, timeout_s=20.0, goal_s=20.0)
+        metadata.put(mesh.state, "op", "config", config)
+
+        async def is_applied() -> bool:
+            return all(running.node.config == 2 for running in mesh.daemons)
+
+        await mesh_module.poll(is_applied)
+        mesh.targets[0].work_s = 30.0
+        answered: dict[str, tuple[int, float]] = {}
+        slots = mesh.targets[0].slots
+        started_at = trio.current_time()
+
+        async def order(name: str, entry: int) -> None:
+            caller = await mesh_module.open_client(mesh.outbound[entry])
+            status, _, _ = await mesh_module.ask(
+                caller, "POST", "/orders/x", x_attempt_id=name, x_deadline_ms="20000"
+            )
+            answered[name] = status, trio.current_time() - started_at
+
+        async with trio.open_nursery() as nursery:
+            for number in range(slots):
+                nursery.start_soon(order, f"working-{number}", number % 2)
+            await trio.sleep(0.3)
+            nursery.start_soon(order, "waiting-0", 0)
+            nursery.start_soon(order, "waiting-1", 1)
+            await daemon.stop(mesh.daemons[0])
+            mesh.scopes[0].cancel()
+        for number in range(slots):
+            status, after_s = answered[f"working-{number}"]
+            assert status == 502, (answered, mesh.targets[0].received_ids)
+            assert after_s > GRACE_S - daemon.EXIT_MARGIN_S - 0.1
+        assert [answered[f"waiting-{entry}"][0] for entry in range(2)] == [503, 503]
+        assert not any(name.startswith("waiting") for name in mesh.targets[0].received_ids)
--- a/tests/request/test_origin.py
+++ b/tests/request/test_origin.py
@@ -258,3 +258,68 @@
     budget.set_share(allowance, 0.5)
     after = budget.find_budget(allowance, identity.ServiceId("lookup"))
     assert before == after == budget.Budget(share=0.5, burst=2.0, level=2.0)
+
+
+@pytest.mark.parametrize(
+    ("may_have_run", "status"),
+    [pytest.param(False, 503, id="not-sent"), pytest.param(True, 502, id="sent")],
+)
+async def test_request_that_is_cut_off_gets_an_answer(
+    autojump_clock: trio.testing.MockClock,
+    monkeypatch: pytest.MonkeyPatch,
+    may_have_run: bool,
+    status: int,
+) -> None:
+    """Guards against requests whose connection is closed without an answer at the end of a stop."""
+    entry = build_origin(1.0)
+    call = build_call(is_repeatable=False)
+    statuses: list[int] = []
+
+    async def try_one(*_: object) -> delivery.Completion:
+        call.may_have_run = may_have_run
+        await trio.sleep_forever()
+        raise AssertionError
+
+    async def reply(status: int, headers: exchange.Headers) -> bool:
+        statuses.append(status)
+        return False
+
+    monkeypatch.setattr(origin, "_try_one", try_one)
+    monkeypatch.setattr(origin, "resolve", lambda *_: None)
+    caller = dataclasses.replace(
+        NO_CALLER, reply=reply, wait_gone=trio.sleep_forever, is_reply_begun=lambda: False
+    )
+    head = origin.RequestHead(request_id="r1", host="", timeout_s=None, key_slot=None)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(origin.handle, entry, call, caller, head)
+        await trio.sleep(0.1)
+        origin.cut_off(entry)
+    assert statuses == [status]
+
+
+@pytest.mark.parametrize(
+    ("refusals", "may_have_run"),
+    [
+        ([outcome.refuse(outcome.Reason.STOPPING)], False),
+        ([outcome.unknown(outcome.Reason.CONNECTION_LOST)], True),
+    ],
+)
+async def test_refused_attempt_leaves_a_request_not_run(
+    autojump_clock: trio.testing.MockClock,
+    monkeypatch: pytest.MonkeyPatch,
+    refusals: list[outcome.Outcome],
+    may_have_run: bool,
+) -> None:
+    """Guards against taking a request for one that may have run because a node has refused it."""
+    entry = build_origin(4.0)
+    call = build_call(is_repeatable=True)
+    second: list[bool] = []
+
+    async def try_one(*_: object) -> delivery.Completion:
+        second.append(call.may_have_run)
+        call.may_have_run = True
+        return delivery.Completion(result=refusals[0])
+
+    monkeypatch.setattr(origin, "_try_one", try_one)
+    await origin._try_all(entry, call, NO_CALLER, [])
+    assert second[:2] == [False, may_have_run]
