--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -32,7 +32,8 @@
     TIMEOUT = "timeout"
 
 
-@dataclasses.dataclass(kw_only=True)
+# Compared by identity, so that connections can be members of a set.
+@dataclasses.dataclass(kw_only=True, eq=False)
 class Wire:
     """One HTTP/1.1 connection.
 
@@ -161,6 +162,15 @@
     return is_readable or bool(wire.http.trailing_data[0])
 
 
+def is_between_requests(wire: Wire) -> bool:
+    """Return whether no byte of a request was read since the last exchange ended.
+
+    :param wire: a server side.
+    """
+    is_idle = wire.http.their_state is h11.IDLE and wire.http.our_state is h11.IDLE
+    return is_idle and has_no_trailing_data(wire)
+
+
 def has_no_trailing_data(wire: Wire) -> bool:
     """Return whether no bytes and no close follow the message that was read last.
 
@@ -329,6 +339,25 @@
     return not is_closed
 
 
+async def drain(wire: Wire) -> None:
+    """Announce the close of the connection, and discard what the peer sends until it closes too.
+
+    A close with unread bytes resets the connection, and the peer may lose a reply that it has not
+    read yet. The caller bounds the time.
+
+    :param wire: a server side that has sent its last reply.
+    """
+    stream = wire.stream
+    try:
+        if isinstance(stream, trio.abc.HalfCloseableStream):
+            await stream.send_eof()
+        while await stream.receive_some(READ_BYTES):
+            pass
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        # The peer has closed the connection already.
+        return
+
+
 async def close(wire: Wire) -> None:
     """Close the connection at once, without completing a message that is being sent.
 
--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -45,10 +45,15 @@
 # The platform probes once a second and removes a node after two failures; until then requests may
 # still arrive.
 UNREADY_S = 2.3
-# The part of the grace period that is kept for the exit of the process.
+# The part of the grace period that is kept for the last answers and the exit of the process.
 EXIT_MARGIN_S = 0.5
+# The part of that margin in which the last answers are written.
+LAST_ANSWERS_S = 0.25
 SWEEP_INTERVAL_S = 0.25
 DRAIN_POLL_INTERVAL_S = 0.02
+# The process ends early only if no request has arrived for this long, since one that is on its way
+# would be lost.
+QUIET_S = 0.25
 MAX_CONNECTIONS = 2000
 # Limits of a message from another node, which itself gives up sooner.
 MAX_PUSH_BYTES = 1_048_576
@@ -181,9 +186,12 @@
         peers=pool.Pool(connect=sockets.connect, now=now, max_connections=512),
         current=traffic.CurrentTraffic(),
     )
+    serve_caller = functools.partial(handle_caller, entry)
+    serve_peer = functools.partial(handle_peer, entry, reconciler)
     callers = front.Front(
         now=now,
-        handle=functools.partial(handle_caller, entry),
+        handle=serve_caller,
+        refuse=serve_caller,
         find_limits=functools.partial(find_limits, entry.current),
         is_hop=False,
         parse=dialect.build_parse(now),
@@ -192,7 +200,8 @@
     )
     peers = front.Front(
         now=now,
-        handle=functools.partial(handle_peer, entry, reconciler),
+        handle=serve_peer,
+        refuse=serve_peer,
         find_limits=functools.partial(find_limits, entry.current),
         is_hop=True,
         parse=dialect.build_parse(now),
@@ -394,20 +403,36 @@
 
     The target keeps running and can only be reached through this node, so it gets requests until
     callers have moved to other nodes. After that, new requests are refused and those in flight are
-    completed within the grace period.
+    completed within the grace period. What is left at its end gets an answer of this node.
 
     :param daemon: the daemon.
     """
     grace_s = daemon.node.place.grace_s - EXIT_MARGIN_S
     daemon.node.is_stopping = True
+    front.drain(daemon.callers)
     with trio.move_on_after(grace_s):
         await node_module.pause(daemon.node, UNREADY_S)
         daemon.node.is_ending = True
         front.stop(daemon.callers)
-        poll_ticks = timer.subscribe(daemon.timer, period_s=DRAIN_POLL_INTERVAL_S)
-        while daemon.callers.active_requests or daemon.peers.active_requests:
-            await timer.tick(daemon.timer, poll_ticks)
-    delivery.lift_shields(daemon.origin.delivery)
+        front.stop(daemon.peers)
+        delivery.refuse_waiting(daemon.origin.delivery)
+        await wait_until_quiet(daemon)
+        return
+    origin.cut_off(daemon.origin)
+    front.cut_off(daemon.callers)
+    front.cut_off(daemon.peers)
+    with trio.move_on_after(LAST_ANSWERS_S):
+        await wait_until_quiet(daemon)
+
+
+async def wait_until_quiet(daemon: Daemon) -> None:
+    """Wait until no request is in any phase and none has arrived for ``QUIET_S``.
+
+    :param daemon: a daemon that refuses new requests.
+    """
+    poll_ticks = timer.subscribe(daemon.timer, period_s=DRAIN_POLL_INTERVAL_S)
+    while not (front.is_quiet(daemon.callers, QUIET_S) and front.is_quiet(daemon.peers, QUIET_S)):
+        await timer.tick(daemon.timer, poll_ticks)
 
 
 if __name__ == "__main__":
