Read a head to its end that begins within the idle time

What callers saw: a request that a caller began on an idle connection, shortly before the idle time-out ended, was closed without an answer in the middle of its head, although all of it was on its way.

Cause: the idle time-out bounded the wait for a whole head, not for its first bytes. A head that arrives in two reads had only what was left of the idle time. Bytes that lay unread in the kernel were lost with the connection.

Evidence: the new test, on the code before this commit: "trio.BrokenResourceError: MemoryReceiveStream was closed" 0.1 s after the head had begun, of the 10 s that the first head of a connection gets.

Ruled out: a whole request that lies in the kernel when the time is over. Trio handles readable sockets before deadlines in the same pass, so that it is read.

Why it works: the idle time ends with the first bytes of a head, and the head then has the time that the first head of a connection has. A stopping listener no longer closes connections on which a part of a head has been read, either.

--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -104,6 +104,23 @@
         wire.http.receive_data(bytes(data))
 
 
+async def wait_for_message(wire: Wire) -> None:
+    """Wait for the first bytes of the peer's next message, or for its close.
+
+    :param wire: a connection between two messages.
+    """
+    if wire.http.trailing_data[0]:
+        return
+    try:
+        data = await wire.stream.receive_some(READ_BYTES)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        # receive() reports it.
+        return
+    wire.events_since_yield = 0
+    wire.received_bytes += len(data)
+    wire.http.receive_data(bytes(data))
+
+
 def poll(wire: Wire) -> h11.Event | None:
     """Return the next body event if it has been received already, without waiting.
 
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -18,6 +18,7 @@
 log = logging.getLogger(__name__)
 
 IDLE_TIMEOUT_S = 60.0
+# For a whole head, and for the first bytes on a new connection.
 HEAD_TIMEOUT_S = 10.0
 # A part of the body that does not come within this time ends the request, so that slow callers
 # cannot occupy a slot of a target.
@@ -157,9 +158,14 @@
     with trio.move_on_after(timeout_s) as scope:
         front.idle_scopes.add(scope)
         try:
-            received = await wire.receive(conn)
+            await wire.wait_for_message(conn)
         finally:
             front.idle_scopes.discard(scope)
+    if scope.cancelled_caught:
+        return None
+    # A head that has begun gets its own time, as callers may begin one until the idle time is over.
+    with trio.move_on_after(HEAD_TIMEOUT_S):
+        received = await wire.receive(conn)
         if isinstance(received, result.Failure):
             failure: wire.WireFailure = received.failure()
             return failure
--- a/tests/request/test_front.py
+++ b/tests/request/test_front.py
@@ -60,6 +60,17 @@
     return bytes(received)
 
 
+async def receive_reply(stream: trio.abc.Stream) -> bool:
+    """Return whether a whole reply to ``GOOD`` is received."""
+    received = b""
+    while not received.endswith(b"\r\n\r\n0"):
+        part = bytes(await stream.receive_some())
+        if not part:
+            return False
+        received += part
+    return received.startswith(b"HTTP/1.1 200")
+
+
 MALFORMED = [
     pytest.param(b"nonsense\r\n\r\n", b"400", id="not-http"),
     pytest.param(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", b"400", id="no-key"),
@@ -157,6 +168,34 @@
     assert trio.current_time() - start_s == pytest.approx(front.HEAD_TIMEOUT_S)
 
 
+async def test_head_that_begins_within_the_idle_time_is_read_to_its_end(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a connection that is closed without a reply in the middle of a head.
+
+    The idle time covered the whole head, so that one that began at its end had no time to arrive.
+    """
+    listener = build_front(idle_timeout_s=5)
+    near, far = trio.testing.memory_stream_pair()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(front.serve, listener, far)
+        await near.send_all(GOOD)
+        assert await receive_reply(near)
+        await trio.sleep(4.9)
+        await near.send_all(GOOD[:10])
+        await trio.sleep(0.2)
+        await near.send_all(GOOD[10:])
+        assert await receive_reply(near)
+        nursery.cancel_scope.cancel()
+
+
+async def test_head_that_never_ends_is_cut_off(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a caller that occupies a connection by never finishing a head."""
+    start_s = trio.current_time()
+    assert await exchange_bytes(build_front(), GOOD[:10], ends=False) == b""
+    assert trio.current_time() - start_s == pytest.approx(front.HEAD_TIMEOUT_S)
+
+
 async def test_slow_body_is_cut_off(autojump_clock: trio.testing.MockClock) -> None:
     """Guards against a caller that occupies a slot by never finishing its body."""
     head = b"POST /a/b HTTP/1.1\r\nHost: x\r\nContent-Length: 10000\r\n\r\n" + b"x" * 100
