Check the size of a body only where the request enters

What callers saw: beside a change of `max_body_bytes`, a request whose body the version at its node allows was answered 400 without a seal by the node that it was forwarded to, or 502 and broken off at its target if the body came in chunks. Callers do not repeat requests after a 400.

Cause: the listener for other nodes applied the limit of its own version of the configuration to bodies that another node had already accepted by its version. Its 400 does not say that it comes from a node, so that the first node passed it on like an answer of the target. The product's own listener for hops, which is the same code, did the same with `max_body_bytes` of its services.

Evidence: tests/platform/test_change.py, which follows, with a smaller limit at the second node only: "assert 400 == 200". The new test of the listener failed for a length and for chunks when the request comes from another node.

Ruled out: the other limits. Sizes of heads and times of heads are not taken from the configuration; deadlines and repeatability travel with a hop.

Why it works: one node decides, by the version that the request was read under, and the others need no agreement on versions. A body is streamed and never held as a whole, so that the limit protects nothing at the second node; messages between nodes have limits of their own.

--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -5,6 +5,7 @@
 import dataclasses
 import logging
 import secrets
+import sys
 import urllib.parse
 
 import h11
@@ -50,10 +51,11 @@
     """The state and settings of one listener.
 
     ``find_limits`` returns the default deadline in seconds and the largest body in bytes of a
-    service. ``is_hop`` marks the listener that only other nodes may use. ``parse`` parses the head
-    of a request; the default is :func:`parse_call`. ``read_idle_timeout`` returns after how many
-    seconds idle connections are closed; it may change. With ``coalesces_head`` the head of a reply
-    is sent together with the first part of its body, which saves a write.
+    service; it does not limit the bodies that other nodes forward. ``is_hop`` marks the listener
+    that only other nodes may use. ``parse`` parses the head of a request; the default is
+    :func:`parse_call`. ``read_idle_timeout`` returns after how many seconds idle connections are
+    closed; it may change. With ``coalesces_head`` the head of a reply is sent together with the
+    first part of its body, which saves a write.
     """
 
     now: collections.abc.Callable[[], float]
@@ -130,7 +132,7 @@
     age_s = wire.read_data_age(conn)
     call.arrived_at_s -= age_s
     call.deadline_at_s -= age_s
-    _, max_body_bytes = front.find_limits(call.service)
+    max_body_bytes = _find_max_body(front, call)
     incoming = Incoming(
         conn=conn, front=front, max_body_bytes=max_body_bytes, is_head_only=call.method == "HEAD"
     )
@@ -150,6 +152,15 @@
     return await _finish_exchange(front, incoming)
 
 
+def _find_max_body(front: Front, call: exchange.Call) -> int:
+    """Return the size in bytes up to which a request's body is read."""
+    if front.is_hop:
+        # The node where the request entered has checked it, maybe by another version of the
+        # configuration.
+        return sys.maxsize
+    return front.find_limits(call.service)[1]
+
+
 async def _receive_head(front: Front, conn: wire.Wire) -> h11.Request | wire.WireFailure | None:
     """Return the next head, or ``None`` if the connection ended between requests."""
     if not await _wait_while_idle(front, conn):
--- a/tests/request/test_front.py
+++ b/tests/request/test_front.py
@@ -109,6 +109,28 @@
     assert b"ebonyvalve-outcome: not-run" in reply
 
 
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+@pytest.mark.parametrize(("is_hop", "is_accepted"), [(False, False), (True, True)])
+async def test_body_is_checked_where_it_enters(
+    autojump_clock: trio.testing.MockClock, framing: str, is_hop: bool, is_accepted: bool
+) -> None:
+    """Guards against refusing a body that another node has accepted by another configuration.
+
+    Beside a change of the limit, its caller was told 400 by the second node.
+    """
+    body = b"x" * (MAX_BODY_BYTES + 1)
+    head = b"POST /a/b HTTP/1.1\r\nHost: x\r\n"
+    if framing == "length":
+        data = head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    else:
+        chunk = b"%x\r\n%s\r\n" % (len(body), body)
+        data = head + b"Transfer-Encoding: chunked\r\n\r\n" + chunk + b"0\r\n\r\n"
+    listener = build_front()
+    listener.is_hop = is_hop
+    reply = await exchange_bytes(listener, data)
+    assert (b"HTTP/1.1 200" in reply) is is_accepted
+
+
 async def test_pipelined_requests_are_answered_in_order(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
