--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -5,6 +5,7 @@
 import dataclasses
 import logging
 import secrets
+import sys
 import urllib.parse
 
 import h11
@@ -18,6 +19,7 @@
 log = logging.getLogger(__name__)
 
 IDLE_TIMEOUT_S = 60.0
+# For a whole head, and for the first bytes on a new connection.
 HEAD_TIMEOUT_S = 10.0
 # A part of the body that does not come within this time ends the request, so that slow callers
 # cannot occupy a slot of a target.
@@ -70,15 +72,16 @@
     """The state and settings of one listener.
 
     ``find_limits`` returns the default deadline in seconds and the largest body in bytes of a
-    service. ``is_hop`` marks the listener that only other nodes may use. ``parse`` parses the head
-    of a request; the default is :func:`parse_call`. Idle connections are closed after
-    ``idle_timeout_s``. With ``coalesces_head`` the head of a reply is sent together with the first
-    part of its body, which saves a write.
+    service; it does not limit the bodies that other nodes forward. ``is_hop`` marks the listener
+    that only other nodes may use. ``parse`` parses the head of a request; the default is
+    :func:`parse_call`. ``read_idle_timeout`` returns after how many seconds idle connections are
+    closed; it may change. With ``coalesces_head`` the head of a reply is sent together with the
+    first part of its body, which saves a write.
 
     While ``is_stopping``, answers say that the connection closes after them. While ``is_refusing``,
     requests are given to ``refuse`` as soon as their head was read, also those whose body was still
     arriving. ``refused_at_s`` is when that last happened. ``head_scopes`` holds the cancel scopes
-    of the reads of a head by connection, ``body_scopes`` those of the bodies that are being read.
+    of the heads that are being read by connection, ``body_scopes`` those of the bodies.
     """
 
     now: collections.abc.Callable[[], float]
@@ -86,7 +89,7 @@
     find_limits: collections.abc.Callable[[identity.ServiceId], tuple[float, int]]
     is_hop: bool
     parse: Parse | None = None
-    idle_timeout_s: float = IDLE_TIMEOUT_S
+    read_idle_timeout: collections.abc.Callable[[], float] = lambda: IDLE_TIMEOUT_S
     coalesces_head: bool = False
     max_connections: int = 1000
     refuse: Handle = refuse_stopping
@@ -199,7 +202,7 @@
     age_s = wire.read_data_age(conn)
     call.arrived_at_s -= age_s
     call.deadline_at_s -= age_s
-    _, max_body_bytes = front.find_limits(call.service)
+    max_body_bytes = _find_max_body(front, call)
     incoming = Incoming(
         conn=conn, front=front, max_body_bytes=max_body_bytes, is_head_only=call.method == "HEAD"
     )
@@ -263,10 +266,21 @@
         )
 
 
+def _find_max_body(front: Front, call: exchange.Call) -> int:
+    """Return the size in bytes up to which a request's body is read."""
+    if front.is_hop:
+        # The node where the request entered has checked it, maybe by another version of the
+        # configuration.
+        return sys.maxsize
+    return front.find_limits(call.service)[1]
+
+
 async def _receive_head(front: Front, conn: wire.Wire) -> h11.Request | wire.WireFailure | None:
     """Return the next head, or ``None`` if the connection ended between requests."""
-    timeout_s = front.idle_timeout_s if conn.is_reused else HEAD_TIMEOUT_S
-    with trio.move_on_after(timeout_s) as scope:
+    if not await _wait_while_idle(front, conn):
+        return None
+    # A head that has begun gets its own time, as callers may begin one until the idle time is over.
+    with trio.move_on_after(HEAD_TIMEOUT_S) as scope:
         front.head_scopes[conn] = scope
         try:
             received = await wire.receive(conn)
@@ -284,6 +298,22 @@
     return None
 
 
+async def _wait_while_idle(front: Front, conn: wire.Wire) -> bool:
+    """Wait for the next head to begin; return whether it did before the connection is to close."""
+    started_at = trio.current_time()
+    timeout_s = front.read_idle_timeout() if conn.is_reused else HEAD_TIMEOUT_S
+    while True:
+        with trio.move_on_at(started_at + timeout_s):
+            await wire.wait_for_message(conn)
+            return True
+        # Callers rely on a time-out that has become longer also for connections that are idle
+        # already. One that has become shorter applies to the next idle time only.
+        current_s = front.read_idle_timeout() if conn.is_reused else timeout_s
+        if current_s <= timeout_s:
+            return False
+        timeout_s = current_s
+
+
 def parse_call(front: Front, head: h11.Request) -> exchange.Call | str:
     """Return the request that a head describes, or a description of what is wrong with it.
 
