Keep Host and Content-Length whatever the Connection header names

What callers saw: a single request with "Connection: host" ended the process, and with it the requests of all other callers of that VM (LOST). The node beside the target ended in the same way for a forwarded request of that kind, and for one in HTTP/1.0 without Host.

Cause: dispatch.filter_headers removes every header that Connection names, also those without which h11 refuses to build the request that is passed on. h11.Request raised LocalProtocolError outside of wire.send, which handles that error, and an exception in the task of one connection cancels all tasks.

Ruled out: the request line and the other headers. h11 reads and writes them by the same patterns, and names from the configuration are checked by decoding.is_name before they are put into headers.

Why this fixes it: RFC 9110, section 7.6.1, doesn't allow Connection to name fields meant for all recipients, so that these two are kept. A request that has no Host, which only HTTP/1.0 allows, gets an empty one (RFC 9112, section 3.2).

--- a/src/ebonyvalve/request/dispatch.py
+++ b/src/ebonyvalve/request/dispatch.py
@@ -25,6 +25,8 @@
     b"transfer-encoding",
     b"upgrade",
 }
+# A message can't be sent without these, whatever its Connection header names.
+REQUIRED_HEADERS = {b"content-length", b"host"}
 
 
 # Limits for replies that are not passed on: their bytes, and their number before the expected one.
@@ -159,7 +161,7 @@
     :param headers: pairs with names in lower case.
     """
     connection_header = wire.find_header(headers, b"connection") or b""
-    excluded = {name.strip().lower() for name in connection_header.split(b",")}
+    excluded = {name.strip().lower() for name in connection_header.split(b",")} - REQUIRED_HEADERS
     if wire.find_header(headers, b"transfer-encoding") is not None:
         # Chunked encoding overrides Content-Length (RFC 9112, section 6.3), which may be wrong.
         excluded.add(b"content-length")
@@ -173,6 +175,9 @@
 def _list_headers(call: exchange.Call, extra_headers: exchange.Headers) -> exchange.Headers:
     """Return the headers to send, with chunked encoding for a body of unknown length."""
     headers = filter_headers(call.headers) + extra_headers
+    if wire.find_header(headers, b"host") is None:
+        # HTTP/1.0 has no mandatory Host header (RFC 9112, section 3.2).
+        headers.append((b"host", b""))
     if call.length is None and not (call.is_body_buffered and not call.prefix):
         headers.append((b"transfer-encoding", b"chunked"))
     return headers
