Reset the connection of a broken answer to HTTP/1.0

Cause: HTTP/1.0 has no chunks, so that h11 frames an answer of unknown length by the end of the connection. wire.close closes the socket in order also in the middle of an answer.

On a hop and to a target the router always speaks HTTP/1.1.

Why this fixes it: the connection of an unfinished answer to HTTP/1.0 is closed with a reset, which no client takes for the end of an answer.

--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 on one stream for servers and clients, based on h11."""
 
+import contextlib
 import dataclasses
 import enum
 import select
@@ -19,6 +20,8 @@
 # Offset and format of ``tcpi_last_data_recv`` in ``struct tcp_info`` of Linux, in milliseconds.
 LAST_DATA_OFFSET = 52
 LAST_DATA = struct.Struct("=I")
+# Value of SO_LINGER (``struct linger``) with which close() resets the connection.
+RESET_ON_CLOSE = struct.pack("=ii", 1, 0)
 
 
 class WireFailure(enum.Enum):
@@ -320,9 +323,20 @@
 async def close(wire: Wire) -> None:
     """Close the connection at once, without completing a message that is being sent.
 
+    The connection of an incomplete response to HTTP/1.0 is reset: the response may be framed by the
+    end of the connection only, so that the client would take an orderly close for its end.
+
     :param wire: the connection.
     """
-    await trio.aclose_forcefully(wire.stream)
+    stream = wire.stream
+    http = wire.http
+    is_incomplete = http.our_state is h11.SEND_BODY or wire.is_writing
+    is_old = (http.their_http_version or b"1.1") < b"1.1"
+    if is_incomplete and is_old and isinstance(stream, trio.SocketStream):
+        with contextlib.suppress(OSError):
+            # The socket may be closed already.
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    await trio.aclose_forcefully(stream)
 
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
