Answer refused HEAD requests instead of closing their connections

What callers saw: a HEAD request that the router itself refused, whatever for (no route, queue full, target lost, malformed, body too long), got no answer: its connection was closed. Between nodes the same made the entry node take a true refusal for a lost connection, so that the caller got "may have run" and the refusing node was avoided.

Cause: a refusal has a body. h11 doesn't allow body data in a response to HEAD and raises LocalProtocolError, and as head and body are written together, nothing was sent. Incoming.is_head_only was set for this and read nowhere.

Ruled out: answers of targets, which have no body after HEAD; the servers of process/http.py, which answer HEAD with 405 and no body.

Why this fixes it: wire.send, through which all responses go, leaves out the body of a response to HEAD; its head still announces the length.

--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -40,7 +40,8 @@
     """One HTTP/1.1 connection.
 
     ``received_bytes`` tells a slow connection from a silent one. ``is_writing`` stays true if a
-    write is cancelled, as the peer may have received a part of it.
+    write is cancelled, as the peer may have received a part of it. ``is_head_request`` says that
+    the request that was read last asks for the head of a response only.
     """
 
     stream: trio.abc.Stream
@@ -48,6 +49,7 @@
     received_bytes: int = 0
     is_reused: bool = False
     is_writing: bool = False
+    is_head_request: bool = False
     # Events read since other tasks had a turn.
     events_since_yield: int = 0
     # One task may read a body while another sends the response; both may have to write.
@@ -94,6 +96,8 @@
         except h11.RemoteProtocolError:
             is_truncated = wire.http.their_state is h11.ERROR and wire.http.trailing_data[1]
             return result.Failure(WireFailure.CLOSED if is_truncated else WireFailure.MALFORMED)
+        if isinstance(event, h11.Request):
+            wire.is_head_request = event.method == b"HEAD"
         if event is not h11.NEED_DATA:
             return result.Success(event)  # type: ignore[arg-type]
         if wire.http.they_are_waiting_for_100_continue and not await send_continue(wire):
@@ -184,7 +188,7 @@
 
 
 async def send(wire: Wire, *events: h11.Event) -> SendResult:
-    """Write events in one call of the stream.
+    """Write events in one call of the stream; the body of a response to HEAD is left out.
 
     The result is :attr:`WireFailure.CLOSED` if the connection is closed or an earlier write was
     cancelled, and :attr:`WireFailure.MALFORMED` if an event is not allowed in the connection's
@@ -204,7 +208,11 @@
                 return result.Failure(WireFailure.CLOSED)
             # The last check for a cancellation before h11 counts the message as begun.
             await trio.lowlevel.checkpoint_if_cancelled()
-            parts = [wire.http.send(event) for event in events]
+            parts = [
+                wire.http.send(event)
+                for event in events
+                if not (wire.is_head_request and isinstance(event, h11.Data))
+            ]
             data = b"".join(part for part in parts if part)
             if data:
                 wire.is_writing = True
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -80,7 +80,6 @@
     body_bytes: int = 0
     is_body_read: bool = False
     is_continued: bool = False
-    is_head_only: bool = False
 
 
 async def serve(front: Front, stream: trio.abc.Stream) -> None:
@@ -130,9 +129,7 @@
     call.arrived_at_s -= age_s
     call.deadline_at_s -= age_s
     _, max_body_bytes = front.find_limits(call.service)
-    incoming = Incoming(
-        conn=conn, front=front, max_body_bytes=max_body_bytes, is_head_only=call.method == "HEAD"
-    )
+    incoming = Incoming(conn=conn, front=front, max_body_bytes=max_body_bytes)
     if call.length is not None and call.length > max_body_bytes:
         reason = f"body of {call.length} bytes exceeds the limit of {max_body_bytes} bytes"
         await _reply_error(conn, outcome.refuse(outcome.Reason.BAD_REQUEST), reason)
--- a/tests/request/test_front.py
+++ b/tests/request/test_front.py
@@ -8,7 +8,7 @@
 import trio
 import trio.testing
 
-from ebonyvalve.request import dispatch, exchange, front, outcome
+from ebonyvalve.request import dispatch, exchange, front, origin, outcome
 
 MAX_BODY_BYTES = 20_000
 GOOD = b"GET /calendrier/salle-1/slots HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -95,6 +95,33 @@
     assert b"ebonyvalve-outcome: not-run" in reply
 
 
+@pytest.mark.parametrize(
+    "head",
+    [
+        # Refused by the listener, then by the handler.
+        b"HEAD /a HTTP/1.1\r\nHost: x\r\n\r\n",
+        b"HEAD /a/b HTTP/1.1\r\nHost: x\r\nContent-Length: 20001\r\n\r\n",
+        b"HEAD /a/b HTTP/1.1\r\nHost: x\r\n\r\n",
+    ],
+)
+@pytest.mark.parametrize("coalesces_head", [False, True])
+async def test_head_request_is_refused_without_a_body(
+    autojump_clock: trio.testing.MockClock, head: bytes, coalesces_head: bool
+) -> None:
+    """Guards against closing the connection of a HEAD request without an answer."""
+
+    async def refuse(call: exchange.Call, caller: exchange.Caller) -> outcome.Outcome:
+        refusal = outcome.refuse(outcome.Reason.QUEUE_FULL)
+        await origin.send_refusal(caller, refusal, 0.0)
+        return refusal
+
+    listener = build_front(coalesces_head=coalesces_head)
+    listener.handle = refuse
+    reply = await exchange_bytes(listener, head)
+    assert reply.startswith((b"HTTP/1.1 400", b"HTTP/1.1 503")), reply
+    assert b"content-length:" in reply and reply.endswith(b"\r\n\r\n")
+
+
 async def test_pipelined_requests_are_answered_in_order(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
