Keep orders on silent connections of the product's own path

Callers of the product's own interface got "unknown" (502) for requests that may run once at most, long before their deadline, while the target was still running them.

Cause: an attempt took from the route's rules whether its request may be sent again. The context of an attempt now says whether the request is repeatable, without a default; the own path takes it from the service's idempotent methods, at the node of entry and at the owner's node.

Ruled out: answers that have begun at their callers. They were kept already, since the caller's end reports the beginning on both paths (tests/connection/test_pool_silence.py).

--- a/src/ebonyvalve/request/attempt.py
+++ b/src/ebonyvalve/request/attempt.py
@@ -23,8 +23,9 @@
     """The destination of an attempt and how its request and reply are handled.
 
     ``extra_headers`` are added to the request, ``filter_reply`` decides whether the reply is passed
-    on, and ``correlate`` says which request a reply names. ``p99_s`` is the 99th percentile of
-    reply times. ``max_idle_s`` bounds the idle time of a reused connection; see
+    on, and ``correlate`` says which request a reply names. ``is_repeatable`` says whether the
+    request may be sent again; one that may not is never aborted for silence. ``p99_s`` is the 99th
+    percentile of reply times. ``max_idle_s`` bounds the idle time of a reused connection; see
     :func:`pool.acquire`. With ``awaits_continue`` the rest of a body is sent only after a
     "100 Continue".
     """
@@ -33,6 +34,7 @@
     address: identity.Address
     extra_headers: exchange.Headers
     filter_reply: dispatch.FilterReply
+    is_repeatable: bool
     p99_s: float | None = None
     max_idle_s: float | None = None
     awaits_continue: bool = False
@@ -100,7 +102,7 @@
             attempt_result.is_ended = True
             return
         connection = acquired.unwrap()
-        connection.is_repeatable = call.rules is None or call.rules.is_repeatable
+        connection.is_repeatable = context.is_repeatable
         connection.has_response_head = False
         connection.abort_reason = None
         connection.is_reply_begun = caller.is_reply_begun
--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -341,6 +341,7 @@
         address=node.place.target_address,
         extra_headers=dialect.build_headers(call, target.lifetime, remaining_s),
         filter_reply=filter_reply,
+        is_repeatable=call.rules is not None and call.rules.is_repeatable,
         p99_s=attempt.TYPICAL_P99_S,
         correlate=lambda headers: dialect.correlate(headers, call.request_id),
     )
--- a/src/ebonyvalve/request/hop.py
+++ b/src/ebonyvalve/request/hop.py
@@ -44,6 +44,7 @@
         address=member.hop_address,
         extra_headers=extra,
         filter_reply=filter_hop_reply,
+        is_repeatable=is_idempotent,
         p99_s=straggler.read_quantile(here.latencies[service.name], 0.99),
         max_idle_s=None if is_idempotent else local.MAX_IDLE_UNREPEATABLE_S,
         awaits_continue=not call.is_body_buffered,
--- a/src/ebonyvalve/request/local.py
+++ b/src/ebonyvalve/request/local.py
@@ -184,6 +184,7 @@
         address=here.target.address or identity.Address(""),
         extra_headers=[*list_extra(job.call, here.now()), fence, grant_until],
         filter_reply=filter_target_reply,
+        is_repeatable=not is_unrepeatable,
         p99_s=straggler.read_quantile(here.latencies[job.service.name], 0.99),
         max_idle_s=MAX_IDLE_UNREPEATABLE_S if is_unrepeatable else None,
         correlate=functools.partial(_correlate, job.call.request_id.encode()),
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -375,6 +375,7 @@
         extra_headers=hop_headers.build_headers(call, node.now())
         + hop_headers.build_version_header(node),
         filter_reply=filter_hop_reply,
+        is_repeatable=call.rules is not None and call.rules.is_repeatable,
         p99_s=attempt.TYPICAL_P99_S,
     )
     attempt_result = attempt.AttemptResult()
--- a/tests/request/test_attempt.py
+++ b/tests/request/test_attempt.py
@@ -52,7 +52,11 @@
         receive=None, reply=take, write=take, finish=take, wait_gone=None, is_gone=lambda: False  # type: ignore[arg-type]
     )
     context = attempt.AttemptContext(
-        pool=state, address=ADDRESS, extra_headers=[], filter_reply=lambda status, headers: headers
+        pool=state,
+        address=ADDRESS,
+        extra_headers=[],
+        filter_reply=lambda status, headers: headers,
+        is_repeatable=True,
     )
     call.headers = [(b"host", b"x")]
     attempt_result = attempt.AttemptResult()
@@ -91,7 +95,11 @@
         test_origin.NO_CALLER, is_gone=lambda: trio.current_time() >= left_at
     )
     context = attempt.AttemptContext(
-        pool=state, address=ADDRESS, extra_headers=[], filter_reply=lambda status, headers: headers
+        pool=state,
+        address=ADDRESS,
+        extra_headers=[],
+        filter_reply=lambda status, headers: headers,
+        is_repeatable=False,
     )
     for _ in range(2):
         attempt_result = attempt.AttemptResult()
--- a/tests/request/test_handler.py
+++ b/tests/request/test_handler.py
@@ -19,6 +19,7 @@
     lease,
     limit,
     message,
+    network,
     site,
     target,
     toy,
@@ -35,12 +36,17 @@
 
 @dataclasses.dataclass(kw_only=True)
 class World:
-    """Two nodes with a target each, connected by in-memory streams."""
+    """Two nodes with a target each, connected by in-memory streams.
+
+    ``serve_target`` serves a connection to a target; the default is that of the toy target.
+    """
 
     nursery: trio.Nursery
+    serve_target: network.Serve | None = None
     target: toy.Toy = dataclasses.field(default_factory=lambda: toy.Toy(node=HERE))
     fronts: dict[str, front.Front] = dataclasses.field(default_factory=dict)
     sites: dict[identity.NodeId, site.Site] = dataclasses.field(default_factory=dict)
+    handlers: dict[identity.NodeId, handler.Handler] = dataclasses.field(default_factory=dict)
     nodes: dict[identity.NodeId, lease.Node] = dataclasses.field(default_factory=dict)
     is_target_refusing: bool = False
 
@@ -51,6 +57,7 @@
         world.nodes[node] = assign_shards(lease.Node(node=node, incarnation=INCARNATION), owner, 1)
         shared = build_handler(world, node)
         world.sites[node] = shared.here
+        world.handlers[node] = shared
         for is_hop in (False, True):
             world.fronts[f"{'hop' if is_hop else 'caller'}-{node}"] = front.Front(
                 now=trio.current_time,
@@ -121,7 +128,8 @@
     elif address != TARGET or world.is_target_refusing or world.target.state is toy.ToyState.DOWN:
         raise OSError("connection refused")
     else:
-        world.nursery.start_soon(toy.serve, world.target, far)
+        serve_target = world.serve_target or functools.partial(toy.serve, world.target)
+        world.nursery.start_soon(serve_target, far)
     return near
 
 
