Believe a target's refusal on the own path only where it is its last one

Callers of the product's own interface could be told "not-run" for a request that the target was running, and a resend with the same token then ran it a second time.

Cause: request/local.py took every reply with "Ebonyvalve-Outcome: not-run" as the refusal of the request that was sent. A target that repeats an earlier refusal without naming a request, on a connection that has carried a reply, or after a reply to another request that was skipped, had its running request refused; the token was left fresh. The rule of the platform's path (correlation.is_reply_to_last) now holds here too: such a refusal means "may have run", the token counts as used, the shard waits until the target can no longer run the request, and the line answer-spoiled is logged. The line and the check moved to request/attempt.py, which both paths use.

A reply that a hedge had overtaken was concluded as refused by the target as well; it counts as "may have run" now.

Targets should therefore repeat Ebonyvalve-Request-Id (docs/configuration.md); the toy target does. One that doesn't has its refusals on reused connections reported as unknown.

Evidence, before, refusal without a name on a reused connection, and after a skipped reply: test_refusal_that_may_be_an_earlier_one_is_not_believed[False-True-False-unknown], [False-False-True-unknown] AssertionError: assert ('not-run', 'not-run') == ('unknown', 'unknown')

Ruled out: copies of refusals that name their request. They were skipped already, and a request is not sent again on a connection on which it was refused.

--- a/src/ebonyvalve/process/toy.py
+++ b/src/ebonyvalve/process/toy.py
@@ -214,9 +214,9 @@
     if path == "/health":
         return result.Success((200, [], b"{}"))
     if not _is_current(toy, headers.get("ebonyvalve-fence", "")):
-        return result.Success(_refuse("stale-fence"))
+        return result.Success(_refuse("stale-fence", headers))
     if toy.running >= toy.slots:
-        return result.Success(_refuse("target-shed"))
+        return result.Success(_refuse("target-shed", headers))
     toy.running += 1
     toy.max_running = max(toy.max_running, toy.running)
     toy.overloads += toy.running > read_capacity(toy)
@@ -232,7 +232,7 @@
         finally:
             run.end_s = toy.clock()
         if not _is_current(toy, run.fence):
-            return result.Success(_refuse("stale-fence"))
+            return result.Success(_refuse("stale-fence", headers))
         run.is_applied = True
         return result.Success(_apply(toy, run, body))
     finally:
@@ -253,8 +253,14 @@
     return run
 
 
-def _refuse(reason: str) -> Answer:
-    headers = [(b"ebonyvalve-outcome", b"not-run"), (b"ebonyvalve-reason", reason.encode())]
+def _refuse(reason: str, request_headers: dict[str, str]) -> Answer:
+    """Return a refusal that names its request, without which a node may not believe it."""
+    request_id = request_headers.get("ebonyvalve-request-id", "")
+    headers = [
+        (b"ebonyvalve-outcome", b"not-run"),
+        (b"ebonyvalve-reason", reason.encode()),
+        (b"ebonyvalve-request-id", request_id.encode()),
+    ]
     return 503, headers, reason.encode()
 
 
--- a/src/ebonyvalve/request/attempt.py
+++ b/src/ebonyvalve/request/attempt.py
@@ -9,7 +9,7 @@
 
 from ebonyvalve.connection import pool
 from ebonyvalve.process import decision, identity
-from ebonyvalve.request import dispatch, exchange, outcome
+from ebonyvalve.request import correlation, dispatch, exchange, outcome
 
 log = logging.getLogger(__name__)
 
@@ -186,6 +186,31 @@
     return attempt_result.failure is not None or (is_broken and not attempt_result.is_timed_out)
 
 
+def is_reply_to_last(finished: dispatch.Attempt) -> bool:
+    """Return whether the reply to an attempt can only belong to its request.
+
+    :param finished: an attempt whose reply has a head.
+    """
+    return correlation.is_reply_to_last(finished.reply_correlation, is_first=finished.is_first)
+
+
+def record_untrusted(call: exchange.Call, finished: dispatch.Attempt) -> None:
+    """Log a reply that cannot be shown to be the target's own reply to this request.
+
+    :param call: the request.
+    :param finished: its attempt.
+    """
+    decision.record(
+        log,
+        logging.INFO,
+        "answer-spoiled",
+        id=call.request_id,
+        status=finished.status,
+        names=finished.reply_correlation,
+        first=finished.is_first,
+    )
+
+
 def conclude(attempt_result: AttemptResult) -> exchange.Completion:
     """Return the completion that follows from an attempt whose reply was not withheld.
 
--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -4,19 +4,16 @@
 import contextlib
 import dataclasses
 import enum
-import logging
 
 import trio
 
 from ebonyvalve.connection import pool, wire
-from ebonyvalve.process import decision, decoding, identity, timer
+from ebonyvalve.process import decoding, identity, timer
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant, ledger
 from ebonyvalve.process.load import admission, lag, rates
 from ebonyvalve.request import attempt, correlation, crash, dispatch, exchange, outcome
 
-log = logging.getLogger(__name__)
-
 # Stands for all requests without a key in the request rates by key slot.
 UNKEYED = -1
 # Weight of a refused request in the request rates. Callers that are refused retry, mostly twice.
@@ -321,9 +318,7 @@
 
     def filter_reply(status: int, headers: exchange.Headers) -> exchange.Headers | None:
         reply_kind[0] = dialect.classify_reply(status, headers)
-        if not correlation.is_reply_to_last(
-            attempt_result.attempt.reply_correlation, is_first=attempt_result.attempt.is_first
-        ):
+        if not attempt.is_reply_to_last(attempt_result.attempt):
             reply_kind[0] = ReplyKind.UNTRUSTED
         if reply_kind[0] is not ReplyKind.ANSWER:
             return None
@@ -356,7 +351,7 @@
         return Completion(result=outcome.refuse(outcome.Reason.NO_TARGET), retry_after_s=0.3)
     if attempt_result.attempt.step is dispatch.Step.WITHHELD:
         if reply_kind[0] is ReplyKind.UNTRUSTED:
-            _record_untrusted(call, attempt_result.attempt)
+            attempt.record_untrusted(call, attempt_result.attempt)
         return _conclude_withheld(node, reply_kind[0])
     completion = attempt.conclude(attempt_result)
     if (
@@ -395,19 +390,6 @@
         scope.shield = False
 
 
-def _record_untrusted(call: exchange.Call, finished: dispatch.Attempt) -> None:
-    """Log a reply that cannot be shown to be the target's own reply to this request."""
-    decision.record(
-        log,
-        logging.INFO,
-        "answer-spoiled",
-        id=call.request_id,
-        status=finished.status,
-        names=finished.reply_correlation,
-        first=finished.is_first,
-    )
-
-
 def _conclude_withheld(node: node_module.Node, reply_kind: ReplyKind) -> Completion:
     """Return the completion of a request whose reply was not passed on to the caller."""
     if reply_kind is ReplyKind.UNTRUSTED:
--- a/src/ebonyvalve/request/local.py
+++ b/src/ebonyvalve/request/local.py
@@ -134,6 +134,8 @@
     try:
         with flight.scope:
             await attempts.run(context, job.call, job.caller, here.now, attempt_result)
+        if _is_untrusted(attempt_result.attempt):
+            attempts.record_untrusted(job.call, attempt_result.attempt)
         completion = _conclude(attempt_result)
     finally:
         _record_unconfirmed(here, job, attempt_result)
@@ -163,7 +165,7 @@
     """Return an attempt's context; its filter adds the outcome and the next token to the reply."""
 
     def filter_target_reply(status: int, headers: exchange.Headers) -> exchange.Headers | None:
-        if wire.find_header(headers, front.OUTCOME_HEADER) == b"not-run":
+        if _is_refusal(headers):
             return None
         answered = outcome.Outcome(verdict=outcome.Verdict.ANSWERED, status=status)
         kept_headers = [pair for pair in headers if not pair[0].startswith(front.HEADER_PREFIX)]
@@ -316,13 +318,18 @@
     """Return the completion of a request at the local target."""
     if not attempt_result.is_ended:
         return _conclude_cancelled(attempt_result)
-    if attempt_result.attempt.step is not dispatch.Step.WITHHELD:
+    attempt = attempt_result.attempt
+    if attempt.step is not dispatch.Step.WITHHELD:
         return attempts.conclude(attempt_result)
-    reported = wire.find_header(attempt_result.attempt.headers, front.REASON_HEADER) or b""
+    if not _is_refused_by_target(attempt):
+        # The reply may be an earlier refusal, or a hedge was answered first.
+        return exchange.Completion(
+            result=outcome.unknown(outcome.Reason.CONNECTION_LOST),
+            is_body_open=attempt.is_body_open,
+        )
+    reported = wire.find_header(attempt.headers, front.REASON_HEADER) or b""
     reason = TARGET_REASONS.get(reported, outcome.Reason.TARGET_SHED)
-    return exchange.Completion(
-        result=outcome.refuse(reason), is_body_open=attempt_result.attempt.is_body_open
-    )
+    return exchange.Completion(result=outcome.refuse(reason), is_body_open=attempt.is_body_open)
 
 
 def _conclude_cancelled(attempt_result: attempts.AttemptResult) -> exchange.Completion:
@@ -339,7 +346,7 @@
 def _record_unconfirmed(here: site.Site, job: Job, attempt_result: attempts.AttemptResult) -> None:
     """Keep the shard for as long as the target may still run a request that was abandoned."""
     attempt = attempt_result.attempt
-    if not attempt.is_sent or attempt.head_at_s is not None:
+    if not attempt.is_sent or (attempt.head_at_s is not None and not _is_untrusted(attempt)):
         return
     until_s = job.call.deadline_at_s
     if job.service.checks_fence:
@@ -354,14 +361,24 @@
     attempt = attempt_result.attempt
     if not attempt.is_sent or _is_refused_by_target(attempt):
         return outcome.refuse(completion.result.reason)
-    if attempt.head_at_s is not None:
+    if attempt.head_at_s is not None and not _is_untrusted(attempt):
         return outcome.Outcome(verdict=outcome.Verdict.ANSWERED, status=attempt.status)
     return outcome.unknown(completion.result.reason)
 
 
+def _is_refusal(headers: exchange.Headers) -> bool:
+    """Return whether a reply of the target says that a request did not run."""
+    return wire.find_header(headers, front.OUTCOME_HEADER) == b"not-run"
+
+
 def _is_refused_by_target(attempt: dispatch.Attempt) -> bool:
-    """Return whether the target itself reported that it did not run the request."""
-    return wire.find_header(attempt.headers, front.OUTCOME_HEADER) == b"not-run"
+    """Return whether the target itself reported that it did not run this request."""
+    return _is_refusal(attempt.headers) and attempts.is_reply_to_last(attempt)
+
+
+def _is_untrusted(attempt: dispatch.Attempt) -> bool:
+    """Return whether the reply is a refusal that may belong to an earlier request."""
+    return _is_refusal(attempt.headers) and not attempts.is_reply_to_last(attempt)
 
 
 def _record_result(
@@ -402,6 +419,8 @@
         reported = wire.find_header(attempt.headers, front.REASON_HEADER)
         # A stale fencing token is not a sign of load.
         return limit.Reply.ABANDONED if reported == b"stale-fence" else limit.Reply.SHED
+    if _is_untrusted(attempt):
+        return limit.Reply.FAILED
     if attempt.head_at_s is not None:
         return limit.Reply.OK
     if attempt_result.is_timed_out and attempt.is_sent:
--- a/tests/request/test_local.py
+++ b/tests/request/test_local.py
@@ -1,14 +1,19 @@
 """Tests of requests at the target beside a node whose target is slow, or answers wrongly."""
 
+import dataclasses
+import functools
+
+import h11
 import pytest
 import trio
 import trio.testing
 
 from ebonyvalve.connection import pool
-from ebonyvalve.process import daemon, identity, straggler
+from ebonyvalve.process import daemon, http, identity, straggler
 from tests.request import test_handler
 
 PATH = "/calendrier/salle-1/book"
+STRAY = b"HTTP/1.1 200 OK\r\nEbonyvalve-Request-Id: other\r\nContent-Length: 0\r\n\r\n"
 
 
 async def sweep_pools(world: test_handler.World) -> None:
@@ -58,3 +63,68 @@
         nursery.cancel_scope.cancel()
     (answer,) = answers
     assert (answer[0], answer[1]["ebonyvalve-outcome"]) == (200, "answered")
+
+
+@dataclasses.dataclass(kw_only=True)
+class FaultyTarget:
+    """A target that answers lookups and refuses all other requests.
+
+    ``is_named`` says whether its refusals name the request, and ``stray`` is sent before each.
+    ``orders`` counts the requests that it refused.
+    """
+
+    is_named: bool
+    stray: bytes = b""
+    orders: int = 0
+
+
+async def serve(faulty: FaultyTarget, stream: trio.abc.Stream) -> None:
+    while True:
+        head, _ = await http.receive_message(stream, h11.Connection(h11.SERVER))
+        if not isinstance(head, h11.Request):
+            return
+        request_id = dict(head.headers)[b"ebonyvalve-request-id"]
+        named = b"Ebonyvalve-Request-Id: %s\r\n" % request_id
+        if head.method == b"GET":
+            await stream.send_all(b"HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n" % named)
+            continue
+        faulty.orders += 1
+        refusal = b"HTTP/1.1 503 No\r\nEbonyvalve-Outcome: not-run\r\nContent-Length: 0\r\n"
+        await stream.send_all(
+            faulty.stray + refusal + (named if faulty.is_named else b"") + b"\r\n"
+        )
+
+
+@pytest.mark.parametrize(
+    ("is_named", "is_reused", "has_stray", "outcome"),
+    [
+        (False, False, False, "not-run"),
+        (True, True, False, "not-run"),
+        (True, False, True, "not-run"),
+        (False, True, False, "unknown"),
+        (False, False, True, "unknown"),
+    ],
+)
+async def test_refusal_that_may_be_an_earlier_one_is_not_believed(
+    autojump_clock: trio.testing.MockClock,
+    is_named: bool,
+    is_reused: bool,
+    has_stray: bool,
+    outcome: str,
+) -> None:
+    """Guards against "not-run" for a request that the target may be running.
+
+    A resend with the same token would then run it a second time.
+    """
+    faulty = FaultyTarget(is_named=is_named, stray=STRAY if has_stray else b"")
+    async with trio.open_nursery() as nursery:
+        world = test_handler.build_world(nursery)
+        world.serve_target = functools.partial(serve, faulty)
+        token = await test_handler.fetch_token(world, PATH)
+        if is_reused:
+            await look_up(world)
+        _, first, _ = await test_handler.call(world, "POST", PATH, [b"a"], token=token)
+        _, resent, _ = await test_handler.call(world, "POST", PATH, [b"a"], token=token)
+        nursery.cancel_scope.cancel()
+    assert (first["ebonyvalve-outcome"], resent["ebonyvalve-outcome"]) == (outcome, outcome)
+    assert faulty.orders == (2 if outcome == "not-run" else 1)
