Release a target's slot on the own path when the head of its reply comes

Requests of the product's own interface waited for admission, and were refused at their deadline, while the target was idle: callers that read large replies slowly held its slots.

Cause: request/local.py released the slot when the attempt had ended, after the caller's link had taken the whole reply. The latency that the concurrency limit learns was measured to the head already, so that only the slot was held longer.

Evidence, before: with a limit of one request and a reply whose body pauses until the next request is answered, both end at the deadline. test_slot_is_free_while_a_reply_is_transferred AssertionError: the answer broke off

--- a/src/ebonyvalve/request/local.py
+++ b/src/ebonyvalve/request/local.py
@@ -130,7 +130,13 @@
     attempt_result = attempts.AttemptResult()
     completion = exchange.Completion(result=outcome.unknown(outcome.Reason.CALLER_GONE))
     address = here.target.address or identity.Address("")
-    context = _build_context(here, job, tokens, filter_reply, is_unrepeatable=is_unrepeatable)
+
+    def filter_and_release(status: int, headers: exchange.Headers) -> exchange.Headers | None:
+        # The target has finished its work. How long the reply's body takes depends on the network.
+        _end_admission(here, ticket, here.now() - started_s, limit.Reply.OK)
+        return filter_reply(status, headers)
+
+    context = _build_context(here, job, tokens, filter_and_release, is_unrepeatable=is_unrepeatable)
     try:
         with flight.scope:
             await attempts.run(context, job.call, job.caller, here.now, attempt_result)
--- a/tests/request/test_local.py
+++ b/tests/request/test_local.py
@@ -9,7 +9,7 @@
 import trio.testing
 
 from ebonyvalve.connection import pool
-from ebonyvalve.process import daemon, http, identity, straggler
+from ebonyvalve.process import daemon, http, identity, limit, straggler
 from tests.request import test_handler
 
 PATH = "/calendrier/salle-1/book"
@@ -128,3 +128,36 @@
         nursery.cancel_scope.cancel()
     assert (first["ebonyvalve-outcome"], resent["ebonyvalve-outcome"]) == (outcome, outcome)
     assert faulty.orders == (2 if outcome == "not-run" else 1)
+
+
+async def test_slot_is_free_while_a_reply_is_transferred(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against refusing requests because callers read the replies of others slowly."""
+    is_next_answered = trio.Event()
+
+    async def serve_slowly(stream: trio.abc.Stream) -> None:
+        head, _ = await http.receive_message(stream, h11.Connection(h11.SERVER))
+        assert isinstance(head, h11.Request)
+        await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\na")
+        if head.target.endswith(b"/sheet"):
+            await is_next_answered.wait()
+        await stream.send_all(b"b")
+
+    statuses = []
+    async with trio.open_nursery() as nursery:
+        world = test_handler.build_world(nursery)
+        world.serve_target = serve_slowly
+        assert limit.read_limit(world.sites[test_handler.HERE].admission) == 1
+
+        async def fetch_sheet() -> None:
+            status, _, body = await test_handler.call(world, "GET", "/calendrier/salle-1/sheet")
+            statuses.append((status, body))
+
+        nursery.start_soon(fetch_sheet)
+        await trio.sleep(0.1)
+        await look_up(world)
+        is_next_answered.set()
+        await trio.sleep(0.1)
+        nursery.cancel_scope.cancel()
+    assert statuses == [(200, b"ab")]
