Keep orders and begun replies when a lease lapses or probes are missed

Callers of the product's own interface got "unknown" for requests that may run once at most, and a part of replies that had begun, although the target was running them or sending the rest.

Cause: a suspicion was acted on as if it were known. Two missed probes of a target (0.2 s), and a lease that lapsed after missed heartbeats, cancelled every request in flight (site.cancel_flights). Only what can be sent again without loss is cancelled now: repeatable requests without a begun reply, and requests of which no byte was sent.

Exclusive ownership does not need the cancellation of the others. A target that checks grants refuses them after the end of the grant; for the others the coordinator leaves the shards of a lost lease unassigned for a further deadline. A release, which waits for requests in flight, waits at a target that is down only until it can no longer run them, then cancels them; replies that have begun go on.

Evidence, before: test_suspicion_ends_only_what_can_be_sent_again[GET-*]: AssertionError: the answer broke off [POST-*]: AssertionError: assert [(503, 'unknown')] == [(200, 'answered')]

Ruled out: the control channel. It carries no requests, and a stream that is retired as silent stays open for its replies. Refused connections and missed deadlines mark a target as down without cancelling.

--- a/src/ebonyvalve/process/handover.py
+++ b/src/ebonyvalve/process/handover.py
@@ -2,7 +2,12 @@
 
 import collections.abc
 
-from ebonyvalve.process import accounting, identity, message, site, timer, token_memory
+import trio
+
+from ebonyvalve.process import accounting, identity, message, site, target, timer, token_memory
+
+# How often a release checks the requests that it waits for.
+RECHECK_INTERVAL_S = 0.05
 
 FindTokenLife = collections.abc.Callable[[identity.ServiceId], float]
 
@@ -16,7 +21,7 @@
     :param clock: the timer service.
     :param shards: the shards; no new request of them may start.
     """
-    await site.wait_flights_ended(here, shards)
+    await _wait_until_ended(here, clock, shards)
     ends = [here.possible_runs.pop(shard) for shard in shards if shard in here.possible_runs]
     await timer.wait_until(clock, max(ends, default=0.0))
     moved = []
@@ -28,6 +33,33 @@
     return moved
 
 
+async def _wait_until_ended(
+    here: site.Site, clock: timer.Timer, shards: list[identity.ShardId]
+) -> None:
+    """Wait for the requests of shards at the target.
+
+    A target that is down may never reply. Its requests are cancelled once it cannot run them any
+    longer, and replies that have begun at their callers are not waited for.
+    """
+    while flights := site.list_flights(here, shards):
+        if not target.is_up(here.target):
+            flights = [flight for flight in flights if not flight.is_reply_begun()]
+            if not flights:
+                return
+            for flight in flights:
+                if flight.find_run_end() <= here.now():
+                    flight.scope.cancel()
+        async with trio.open_nursery() as nursery:
+
+            async def recheck(scope: trio.CancelScope) -> None:
+                await timer.wait_until(clock, here.now() + RECHECK_INTERVAL_S)
+                scope.cancel()
+
+            nursery.start_soon(recheck, nursery.cancel_scope)
+            await here.flights_ended.wait()
+            nursery.cancel_scope.cancel()
+
+
 def install(
     here: site.Site, moved: list[message.TokenMemory], find_token_life: FindTokenLife
 ) -> None:
@@ -93,6 +125,9 @@
 def cancel_requests(here: site.Site, shards: list[identity.ShardId]) -> None:
     """Cancel the requests of shards that the node must not serve at present.
 
+    Those that cannot be sent again are left: the target refuses them after their grant, or the
+    coordinator waits for their deadline before it assigns the shards.
+
     :param here: the node's state.
     :param shards: the shards.
     """
--- a/src/ebonyvalve/process/site.py
+++ b/src/ebonyvalve/process/site.py
@@ -25,11 +25,17 @@
     """A request in flight at the local target.
 
     ``shard`` is the shard under which it runs; cancelling ``scope`` cancels it.
+    ``is_cancellable`` says whether that loses nothing: the request may be sent again, or was not
+    sent yet. ``is_reply_begun`` says whether its caller has a part of a reply. ``find_run_end``
+    returns the time in seconds after which the target cannot run it.
     """
 
     shard: identity.ShardId
     fingerprint: identity.Fingerprint
-    scope: trio.CancelScope
+    is_cancellable: collections.abc.Callable[[], bool]
+    is_reply_begun: collections.abc.Callable[[], bool]
+    find_run_end: collections.abc.Callable[[], float]
+    scope: trio.CancelScope = dataclasses.field(default_factory=trio.CancelScope)
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -137,27 +143,24 @@
     return memory
 
 
-def begin_flight(site: Site, shard: identity.ShardId, fingerprint: identity.Fingerprint) -> Flight:
-    """Record that a request starts at the local target, and return its entry.
+def begin_flight(site: Site, flight: Flight) -> None:
+    """Record that a request starts at the local target.
 
     :param site: the node's state.
-    :param shard: the shard under which it runs.
-    :param fingerprint: the fingerprint of the request.
+    :param flight: the request.
     """
-    flight = Flight(shard=shard, fingerprint=fingerprint, scope=trio.CancelScope())
-    site.flights.setdefault(shard, []).append(flight)
+    site.flights.setdefault(flight.shard, []).append(flight)
     if site.in_flight[site.node] == 0:
         site.started.set()
         site.started = trio.Event()
     site.in_flight[site.node] += 1
-    return flight
 
 
 def end_flight(site: Site, flight: Flight) -> None:
     """Record that a request has ended at the local target.
 
     :param site: the node's state.
-    :param flight: from :func:`begin_flight`.
+    :param flight: passed to :func:`begin_flight`.
     """
     flights = site.flights[flight.shard]
     flights.remove(flight)
@@ -168,32 +171,34 @@
         site.flights_ended = trio.Event()
 
 
-async def wait_flights_ended(
-    site: Site, shards: collections.abc.Collection[identity.ShardId]
-) -> None:
-    """Wait until no request of the shards runs at the local target.
+def list_flights(
+    site: Site, shards: collections.abc.Collection[identity.ShardId] | None = None
+) -> list[Flight]:
+    """Return the requests in flight at the local target.
 
     :param site: the node's state.
-    :param shards: the shards; the caller starts no new requests for them.
+    :param shards: the shards concerned; ``None`` for all.
     """
-    while any(shard in site.flights for shard in shards):
-        await site.flights_ended.wait()
+    return [
+        flight
+        for shard, flights in site.flights.items()
+        if shards is None or shard in shards
+        for flight in flights
+    ]
 
 
 def cancel_flights(
     site: Site, shards: collections.abc.Collection[identity.ShardId] | None = None
 ) -> int:
-    """Cancel requests in flight at the local target; return their number.
+    """Cancel the requests in flight that can be sent again; return their number.
+
+    A missed probe or heartbeat does not show that the target has stopped, and cancelling the others
+    would lose their replies. They end at their deadline or when their shard is released.
 
     :param site: the node's state.
     :param shards: the shards concerned; ``None`` for all.
     """
-    chosen = [
-        flight
-        for shard, flights in site.flights.items()
-        if shards is None or shard in shards
-        for flight in flights
-    ]
+    chosen = [flight for flight in list_flights(site, shards) if flight.is_cancellable()]
     for flight in chosen:
         flight.scope.cancel()
     return len(chosen)
@@ -250,10 +255,13 @@
 
     The grant ends with the node's lease, or one lease duration after the first request that the
     target has not answered, whichever is earlier. A target that froze may run the requests that it
-    has received once it resumes, and its shards can move only when it can no longer do so.
+    has received once it resumes, and its shards can move only when it can no longer do so. For the
+    same reason a target that is down gets no later grant end.
 
     :param site: the node's state; the caller sends a request or probe next.
     """
+    if not target.is_up(site.target):
+        return int(site.sent_grant_end_s * 1000)
     now_s = site.now()
     if site.in_flight[site.node] <= 1:
         # Abandoned requests don't show that the target is silent once nothing else is in flight. A
--- a/src/ebonyvalve/request/local.py
+++ b/src/ebonyvalve/request/local.py
@@ -126,8 +126,21 @@
 ) -> exchange.Completion:
     """Make the attempt, and record its result however it ends."""
     started_s = here.now()
-    flight = site.begin_flight(here, job.shard, fingerprint)
     attempt_result = attempts.AttemptResult()
+
+    def is_cancellable() -> bool:
+        if not attempt_result.attempt.is_sent:
+            return True
+        return not (is_unrepeatable or job.caller.is_reply_begun())
+
+    flight = site.Flight(
+        shard=job.shard,
+        fingerprint=fingerprint,
+        is_cancellable=is_cancellable,
+        is_reply_begun=job.caller.is_reply_begun,
+        find_run_end=functools.partial(_find_run_end, here, job),
+    )
+    site.begin_flight(here, flight)
     completion = exchange.Completion(result=outcome.unknown(outcome.Reason.CALLER_GONE))
     address = here.target.address or identity.Address("")
 
@@ -354,10 +367,15 @@
     attempt = attempt_result.attempt
     if not attempt.is_sent or (attempt.head_at_s is not None and not _is_untrusted(attempt)):
         return
+    site.record_possible_run(here, job.shard, _find_run_end(here, job))
+
+
+def _find_run_end(here: site.Site, job: Job) -> float:
+    """Return the time in seconds after which the target can no longer run a request."""
     until_s = job.call.deadline_at_s
     if job.service.checks_fence:
         until_s = min(until_s, here.sent_grant_end_s)
-    site.record_possible_run(here, job.shard, until_s)
+    return until_s
 
 
 def _find_recorded_outcome(
--- a/tests/request/test_local.py
+++ b/tests/request/test_local.py
@@ -1,6 +1,7 @@
 """Tests of requests at the target beside a node whose target is slow, or answers wrongly."""
 
 import dataclasses
+import enum
 import functools
 
 import h11
@@ -9,7 +10,19 @@
 import trio.testing
 
 from ebonyvalve.connection import pool
-from ebonyvalve.process import daemon, http, identity, limit, straggler
+from ebonyvalve.process import (
+    daemon,
+    handover,
+    http,
+    identity,
+    limit,
+    monitor,
+    site,
+    straggler,
+    target,
+    timer,
+    toy,
+)
 from tests.request import test_handler
 
 PATH = "/calendrier/salle-1/book"
@@ -161,3 +174,104 @@
         await trio.sleep(0.1)
         nursery.cancel_scope.cancel()
     assert statuses == [(200, b"ab")]
+
+
+class Suspicion(enum.Enum):
+    """Why a node may take its target, or its own lease, for lost."""
+
+    LEASE_LAPSED = "lease-lapsed"
+    PROBES_MISSED = "probes-missed"
+
+
+async def suspect(nursery: trio.Nursery, here: site.Site, suspicion: Suspicion) -> None:
+    """Let the node's lease lapse, or its target miss probes."""
+    if suspicion is Suspicion.LEASE_LAPSED:
+        handover.cancel_requests(here, list(here.flights))
+        return
+
+    async def refuse(_: str) -> trio.abc.Stream:
+        raise OSError
+
+    clock = timer.Timer(clock=trio.current_time)
+    probes = monitor.Monitor(here=here, timer=clock, connect=refuse, drop_idle=trio.sleep)
+    nursery.start_soon(timer.run, clock)
+    nursery.start_soon(monitor.run, probes)
+    while target.is_up(here.target):
+        await here.changed.wait()
+
+
+async def answer_in_two_parts(stream: trio.abc.Stream) -> None:
+    await http.receive_message(stream, h11.Connection(h11.SERVER))
+    await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\na")
+    await trio.sleep(0.8)
+    await stream.send_all(b"b")
+
+
+@pytest.mark.parametrize("suspicion", list(Suspicion))
+@pytest.mark.parametrize("method", ["GET", "POST"])
+async def test_suspicion_ends_only_what_can_be_sent_again(
+    autojump_clock: trio.testing.MockClock, suspicion: Suspicion, method: str
+) -> None:
+    """Guards against ending orders, and cutting begun replies, after missed probes or heartbeats.
+
+    The order's outcome was unknown although its target was running it; the caller of a lookup whose
+    reply had begun got a part of it.
+    """
+    answers = []
+    async with trio.open_nursery() as nursery:
+        world = test_handler.build_world(nursery)
+        here = world.sites[test_handler.HERE]
+        token = await test_handler.fetch_token(world, PATH)
+        # The order ends within its grant.
+        world.target.service_time_s = 0.4
+        if method == "GET":
+            world.serve_target = answer_in_two_parts
+
+        async def ask() -> None:
+            answers.append(await test_handler.call(world, method, PATH, [b"a"], token=token))
+
+        async with trio.open_nursery() as callers:
+            callers.start_soon(ask)
+            await trio.sleep(0.1)
+            await suspect(nursery, here, suspicion)
+        nursery.cancel_scope.cancel()
+    assert [(status, headers["ebonyvalve-outcome"]) for status, headers, _ in answers] == [
+        (200, "answered")
+    ]
+
+
+@pytest.mark.parametrize(("method", "outcome"), [("GET", "answered"), ("POST", "unknown")])
+async def test_release_does_not_wait_for_a_lost_target(
+    autojump_clock: trio.testing.MockClock, method: str, outcome: str
+) -> None:
+    """Guards against keys that stay unavailable until the deadline of an order at a lost target.
+
+    Once the grant has ended the target cannot run the order any longer. A reply that has begun at
+    its caller goes on.
+    """
+    answers = []
+    async with trio.open_nursery() as nursery:
+        world = test_handler.build_world(nursery)
+        here = world.sites[test_handler.HERE]
+        clock = timer.Timer(clock=trio.current_time)
+        nursery.start_soon(timer.run, clock)
+        token = await test_handler.fetch_token(world, PATH)
+        toy.freeze(world.target)
+        if method == "GET":
+            world.serve_target = answer_in_two_parts
+
+        async def ask() -> None:
+            answers.append(await test_handler.call(world, method, PATH, [b"a"], token=token))
+
+        async with trio.open_nursery() as callers:
+            callers.start_soon(ask)
+            await trio.sleep(0.1)
+            await suspect(nursery, here, Suspicion.PROBES_MISSED)
+            shards = list(here.flights)
+            grant_end_s = here.sent_grant_end_s
+            await handover.release(here, clock, shards)
+            released_at = trio.current_time()
+            assert not [flight for flight in site.list_flights(here) if not flight.is_reply_begun()]
+        nursery.cancel_scope.cancel()
+    assert released_at <= grant_end_s + 2 * handover.RECHECK_INTERVAL_S
+    assert [headers["ebonyvalve-outcome"] for _, headers, _ in answers] == [outcome]
