Tell the other nodes that a process is about to end

What callers saw: a request that another node sent just as a stopping process ended became a 502, though no target had seen it. A stopping node that holds keys got requests from others until the end of its grace period, so that it was away for longer than its own requests needed.

Cause: other nodes learned of the end only from the refusal of their next request, and avoided the node for 0.1 to 0.3 s. An answer to an earlier request that still ran there cleared even that.

Now a node that is ending says so to all members, every 0.7 s, and they send it nothing for 1 s after each message or refusal. A node that misses the message is refused, which the quiet time covers.

Ruled out: a column in the member's row of the store, as its change is one more call to the store for every node, and they hear it later.

--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -54,6 +54,8 @@
 # The process ends early only if no request has arrived for this long, since one that is on its way
 # would be lost.
 QUIET_S = 0.25
+# Other nodes send nothing for ``selection.ENDING_PAUSE_S`` after each announcement.
+ANNOUNCE_END_INTERVAL_S = 0.7
 MAX_CONNECTIONS = 2000
 # Limits of a message from another node, which itself gives up sooner.
 MAX_PUSH_BYTES = 1_048_576
@@ -275,6 +277,9 @@
     """
     if call.path.startswith(reachability.PING_PATH):
         return await acknowledge(caller, reachability.answer_ping(entry.node, call.path))
+    if call.path.startswith(reachability.ENDING_PATH):
+        is_known = reachability.receive_end(entry.node, call.path)
+        return await acknowledge(caller, 204 if is_known else 404)
     if call.path.startswith(gossip.GOSSIP_PATH):
         update = gossip.encode_update(entry.node, call.path)
         return await acknowledge(caller, 400 if update is None else 200, update or b"")
@@ -416,7 +421,10 @@
         front.stop(daemon.callers)
         front.stop(daemon.peers)
         delivery.refuse_waiting(daemon.origin.delivery)
-        await wait_until_quiet(daemon)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(announce_end, daemon)
+            await wait_until_quiet(daemon)
+            nursery.cancel_scope.cancel()
         return
     origin.cut_off(daemon.origin)
     front.cut_off(daemon.callers)
@@ -425,6 +433,17 @@
         await wait_until_quiet(daemon)
 
 
+async def announce_end(daemon: Daemon) -> None:
+    """Tell the other nodes periodically that this process is about to end, until cancelled.
+
+    :param daemon: the daemon.
+    """
+    ticks = timer.subscribe(daemon.timer, period_s=ANNOUNCE_END_INTERVAL_S)
+    while True:
+        await reachability.announce_end(daemon.watch)
+        await timer.tick(daemon.timer, ticks)
+
+
 async def wait_until_quiet(daemon: Daemon) -> None:
     """Wait until no request is in any phase and none has arrived for ``QUIET_S``.
 
--- a/src/ebonyvalve/process/load/selection.py
+++ b/src/ebonyvalve/process/load/selection.py
@@ -15,6 +15,8 @@
 # While a queue is full, requests are refused for up to this long without asking the target's node.
 # A full queue holds several times as much work, so the target does not idle meanwhile.
 FULL_PAUSE_S = 0.1
+# A node that is about to end repeats that before this time is over, and takes longer to restart.
+ENDING_PAUSE_S = 1.0
 # Reported work has ended after about this many work times, so an older report counts for nothing.
 STALE_WORK_TIMES = 4.0
 # A target in another zone has to answer sooner by at least this, because traffic between zones
@@ -29,7 +31,8 @@
     Times are in seconds. ``offered`` is the work that arrives for the target per second divided by
     the work it can do per second, ``request_load`` what one request per second adds to it.
     ``work_s`` is the work time over the last few answers. ``busy`` counts the requests that ran
-    or waited there at ``reported_at``, ``outstanding`` those that this node has sent there.
+    or waited there at ``reported_at``, ``outstanding`` those that this node has sent there. Nothing
+    is sent there before ``ending_until``, as the other node's process is about to end.
     """
 
     slots: int
@@ -42,6 +45,7 @@
     failures: int = 0
     avoid_until: float = float("-inf")
     full_until: float = float("-inf")
+    ending_until: float = float("-inf")
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -113,6 +117,15 @@
     view.full_until = now + min(retry_after_s, FULL_PAUSE_S)
 
 
+def record_ending(view: TargetView, now: float) -> None:
+    """Record that the process of the target's node is about to end.
+
+    :param view: the state.
+    :param now: seconds on the node's clock.
+    """
+    view.ending_until = now + ENDING_PAUSE_S
+
+
 def estimate_answer(view: TargetView, now: float, *, is_near: bool) -> float:
     """Return the expected seconds to an answer.
 
--- a/src/ebonyvalve/request/explanation.py
+++ b/src/ebonyvalve/request/explanation.py
@@ -85,6 +85,8 @@
         line += ", its zone is evacuated"
     if now < view.avoid_until:
         line += f", passed by for {view.avoid_until - now:.2f} s after {view.failures} failures"
+    if now < view.ending_until:
+        line += ", its process is about to end"
     if now < view.full_until:
         line += f", full for {view.full_until - now:.2f} s"
     if target.node == node.place.node:
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -321,6 +321,7 @@
     }
     now = node.now()
     views = {name: node_module.read_view(node, name) for name in candidates}
+    views = {name: view for name, view in views.items() if view.ending_until <= now}
     # A request is sent again only if some node that was not tried yet is not being avoided.
     if excluded and all(view.avoid_until > now for view in views.values()):
         return None
@@ -351,6 +352,8 @@
     """Try a request at one node, this one or another, and update what is known of its target."""
     node = origin.node
     view = node_module.read_view(node, name)
+    if node.now() < view.ending_until:
+        return delivery.Completion(result=STOPPING, retry_after_s=RETRY_AFTER_S)
     if call.rules is not None and call.rules.key_slot is not None:
         # No other target holds the key, so a refusal is all that remains until this one recovers.
         if node.now() < view.full_until:
@@ -375,6 +378,8 @@
         and completion.result.verdict is outcome.Verdict.NOT_RUN
     ):
         selection.record_refusal(view, completion.retry_after_s, node.now())
+        if completion.result.reason is outcome.Reason.STOPPING:
+            selection.record_ending(view, node.now())
     return completion
 
 
--- a/src/ebonyvalve/request/reachability.py
+++ b/src/ebonyvalve/request/reachability.py
@@ -12,7 +12,7 @@
 import trio
 
 from ebonyvalve.connection import liveness, pool
-from ebonyvalve.process import decision, http, identity, network
+from ebonyvalve.process import decision, http, identity, network, push
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.load import lag, selection
 
@@ -20,6 +20,8 @@
 
 # Followed by the name of the intended node, since its address may now belong to another node.
 PING_PATH = "/ebonyvalve/ping/"
+# Followed by the name of a node whose process is about to end.
+ENDING_PATH = "/ebonyvalve/ending/"
 ANSWERED_STATUS = 204
 OTHER_NODE_STATUS = 421
 # Most replies come within this time. A node that owes one and has sent no bytes for longer is
@@ -180,3 +182,31 @@
         decision.record(log, logging.WARNING, "peer-lost", peer=name, reason=reason)
     selection.record_unreachable(node_module.read_view(monitor.node, name), now)
     return now - since
+
+
+async def announce_end(monitor: Monitor) -> None:
+    """Tell the other nodes that this process is about to end, so that they send it nothing.
+
+    A node that misses the message is refused, and learns it from that.
+
+    :param monitor: the state.
+    """
+    node = monitor.node
+    path = ENDING_PATH + urllib.parse.quote(node.place.node, safe="")
+    others = set(node.members) - {node.place.node}
+    await push.send(node, monitor.connect, others, path, b"")
+
+
+def receive_end(node: node_module.Node, path: str) -> bool:
+    """Record that the process of another node is about to end.
+
+    :param node: this node.
+    :param path: the path of the message, which names the other node.
+    :return: whether the other node is a member.
+    """
+    name = identity.NodeId(urllib.parse.unquote(path.removeprefix(ENDING_PATH)))
+    if name not in node.members:
+        return False
+    selection.record_ending(node_module.read_view(node, name), node.now())
+    decision.record(log, logging.INFO, "peer-ending", peer=name)
+    return True
--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -1,10 +1,14 @@
 """Tests of the planned stop of a node, with callers and other nodes that go on sending."""
 
+import dataclasses
+import itertools
+
+import h11
 import pytest
 import trio
 
 from ebonyvalve.platform import daemon
-from ebonyvalve.process import network
+from ebonyvalve.process import http, network
 from ebonyvalve.standin import metadata
 from tests.platform import mesh as mesh_module
 
@@ -102,3 +106,132 @@
             assert after_s > GRACE_S - daemon.EXIT_MARGIN_S - 0.1
         assert [answered[f"waiting-{entry}"][0] for entry in range(2)] == [503, 503]
         assert not any(name.startswith("waiting") for name in mesh.targets[0].received_ids)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Traffic:
+    """Requests of callers that go on until ``ends_at``, in seconds of Trio's clock.
+
+    ``answers`` maps the id of each request to the status of its answer, or to 0 if its connection
+    ended without a complete one; ``ended_at`` says when.
+    """
+
+    ends_at: float = float("inf")
+    answers: dict[str, int] = dataclasses.field(default_factory=dict)
+    ended_at: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Style:
+    """How a caller sends: ``split_at`` is where it pauses in the head; 0 for no pause."""
+
+    method: str
+    body: bytes
+    is_kept: bool
+    split_at: int
+
+    @property
+    def name(self) -> str:
+        return f"{self.method}-{len(self.body)}-{'kept' if self.is_kept else 'new'}-{self.split_at}"
+
+
+STYLES = [
+    Style(method=method, body=body, is_kept=is_kept, split_at=split_at)
+    for method, body in (("GET", b""), ("POST", b""), ("POST", b"a" * 9000))
+    for is_kept in (False, True)
+    for split_at in (0, 30)
+]
+
+
+async def send_one(client: mesh_module.Client, style: Style, path: str, name: str) -> int:
+    """Return the status of the complete answer, or 0 if there is none."""
+    headers = {
+        "host": mesh_module.HOST,
+        "content-length": str(len(style.body)),
+        "x-attempt-id": name,
+        "x-deadline-ms": "2000",
+        "x-shard-key": "7",
+    }
+    head = h11.Request(method=style.method, target=path, headers=list(headers.items()))
+    data = client.http.send(head) or b""
+    if style.body:
+        data += client.http.send(h11.Data(data=style.body)) or b""
+    data += client.http.send(h11.EndOfMessage()) or b""
+    try:
+        if style.split_at:
+            await client.stream.send_all(data[: style.split_at])
+            await trio.sleep(0.05)
+        await client.stream.send_all(data[style.split_at :])
+        reply, _ = await http.receive_message(client.stream, client.http)
+    except (trio.BrokenResourceError, h11.RemoteProtocolError):
+        return 0
+    return reply.status_code if isinstance(reply, h11.Response) else 0
+
+
+async def keep_sending(traffic: Traffic, address: str, path: str, style: Style, name: str) -> None:
+    client: mesh_module.Client | None = None
+    for number in itertools.count():
+        if trio.current_time() >= traffic.ends_at:
+            return
+        try:
+            stream = client.stream if client else await network.connect_tcp(address)
+        except OSError:
+            await trio.sleep(0.01)
+            continue
+        client = client or mesh_module.Client(stream=stream, http=h11.Connection(h11.CLIENT))
+        request_id = f"{name}-{style.name}-{number}"
+        traffic.answers[request_id] = await send_one(client, style, path, request_id)
+        traffic.ended_at[request_id] = trio.current_time()
+        if style.is_kept and client.http.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
+            client.http.start_next_cycle()
+        else:
+            await client.stream.aclose()
+            client = None
+        await trio.sleep(0.02)
+
+
+@pytest.mark.parametrize(
+    ("services", "entries"),
+    [
+        pytest.param(["orders", "orders", "lookup"], [0, 2], id="both-nodes"),
+        pytest.param(["orders", "lookup", "lookup"], [1], id="other-node"),
+        pytest.param(["lookup", "orders", "orders"], [1], id="other-node-with-keys"),
+    ],
+)
+async def test_requests_until_the_end_are_answered_or_truly_refused(
+    services: list[str], entries: list[int]
+) -> None:
+    """Guards against requests that a stopping node loses, runs twice or runs after a refusal."""
+    async with mesh_module.open_mesh(services, work_s=0.02) as mesh:
+        for entry in mesh.outbound:
+            client = await mesh_module.open_client(entry)
+            await mesh_module.wait_status(client, 200, "/orders/warm")
+            await mesh_module.wait_status(client, 200, "/lookup/warm", x_shard_key="7")
+        traffic = Traffic()
+        async with trio.open_nursery() as nursery:
+            for entry in entries:
+                for style, path in itertools.product(STYLES, ("/orders/x", "/lookup/x")):
+                    name = f"{entry}{path}"
+                    nursery.start_soon(
+                        keep_sending, traffic, mesh.outbound[entry], path, style, name
+                    )
+            started_at = trio.current_time()
+            await daemon.stop(mesh.daemons[0])
+            ended_at = trio.current_time()
+            mesh.scopes[0].cancel()
+            traffic.ends_at = ended_at + 0.3
+        received = [name for target in mesh.targets for name in target.received_ids]
+        completed = [name for target in mesh.targets for name in target.completed_ids]
+        for name, status in traffic.answers.items():
+            if status == 0:
+                # It crossed the end of the process.
+                assert name.startswith("0") and traffic.ended_at[name] >= ended_at
+                assert name not in received
+            elif status == 503:
+                assert name not in completed
+            else:
+                assert (name, status) == (name, 200)
+            if "POST" in name:
+                assert completed.count(name) <= 1
+        # Other nodes hear of the stop, so that it does not take the whole grace period.
+        assert 0 in entries or ended_at - started_at < GRACE_S - daemon.EXIT_MARGIN_S
--- a/tests/request/test_origin.py
+++ b/tests/request/test_origin.py
@@ -11,7 +11,7 @@
 from ebonyvalve.process import budget, identity, member, timer
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant
-from ebonyvalve.process.load import admission, rates
+from ebonyvalve.process.load import admission, rates, selection
 from ebonyvalve.request import (
     attempt,
     correlation,
@@ -21,6 +21,7 @@
     exchange,
     origin,
     outcome,
+    reachability,
 )
 from ebonyvalve.version import traffic
 from tests import places
@@ -323,3 +324,36 @@
     monkeypatch.setattr(origin, "_try_one", try_one)
     await origin._try_all(entry, call, NO_CALLER, [])
     assert second[:2] == [False, may_have_run]
+
+
+@pytest.mark.parametrize("key_slot", [None, 7])
+async def test_nothing_is_sent_to_a_node_that_is_about_to_end(
+    autojump_clock: trio.testing.MockClock, key_slot: int | None
+) -> None:
+    """Guards against requests that reach a node just as its process ends, and are lost there."""
+    entry = build_origin(1.0)
+    call = build_call(is_repeatable=False)
+    assert call.rules is not None
+    call.rules = dataclasses.replace(call.rules, key_slot=key_slot)
+    name = NAMES[0]
+    assert reachability.receive_end(entry.node, f"{reachability.ENDING_PATH}{name}")
+    view = entry.node.target_views[name]
+    report = selection.LoadReport(busy=0, slots=4, work_s=0.1, offered=0.0, request_load=0.1)
+    selection.record_load(view, report, entry.node.now())
+    if key_slot is None:
+        others = set(NAMES[1:])
+        assert origin._choose_node(entry, call, call.rules, others, owner=None) is None
+    completion = await origin._try_one(entry, call, NO_CALLER, name)
+    assert completion.result == outcome.refuse(outcome.Reason.STOPPING)
+    await trio.sleep(selection.ENDING_PAUSE_S)
+    if key_slot is None:
+        assert origin._choose_node(entry, call, call.rules, others, owner=None) == name
+    completion = await origin._try_one(entry, call, NO_CALLER, name)
+    assert completion.result == outcome.refuse(outcome.Reason.CONNECT_FAILED)
+
+
+async def test_end_of_an_unknown_node_is_ignored() -> None:
+    """Guards against a message that makes the node keep state for names that are no members."""
+    entry = build_origin(0.0)
+    assert not reachability.receive_end(entry.node, f"{reachability.ENDING_PATH}unknown")
+    assert not entry.node.target_views
