Test the end of a stop with a real process

Requests come on new connections, their heads and bodies in two parts, until the process has ended; a second SIGTERM and a SIGHUP come meanwhile.

--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -117,3 +118,44 @@
     with trio.move_on_after(0.1):
         await reload.follow(built.node, built.client, signals.Signals(), lambda: body)
     assert built.client.address == "127.0.0.1:11"
+
+
+def test_requests_are_refused_until_the_process_ends(
+    tmp_path: pathlib.Path, ports: list[int]
+) -> None:
+    """Guards against a stop that closes connections unread, and signals that change how it goes on.
+
+    Only a request that crosses the end of the process may find its connection closed.
+    """
+    request = (
+        b"POST /orders/x HTTP/1.1\r\nhost: x\r\nx-attempt-id: a\r\ncontent-length: 4\r\n\r\nbody"
+    )
+    replies: list[bytes] = []
+    signals_left = [signal.SIGHUP, signal.SIGTERM]
+    with open_daemon(tmp_path, build_settings(ports)) as process:
+        # An idle connection of another caller.
+        with socket.create_connection(("127.0.0.1", ports[0])):
+            process.send_signal(signal.SIGTERM)
+            wait_logged(tmp_path, "event=stopping ")
+            while process.poll() is None:
+                with contextlib.suppress(ConnectionRefusedError):
+                    replies.append(send_in_two_parts(ports[0], request, split_at=len(replies) % 90))
+                if signals_left and len(replies) > 10:
+                    process.send_signal(signals_left.pop())
+        assert process.wait(STOP_S) == 0
+    assert not signals_left
+    assert [reply[:12] for reply in replies[:-1]] == [b"HTTP/1.1 503"] * (len(replies) - 1)
+    assert all(b"connection: close" in reply.lower() for reply in replies[:-1])
+
+
+def send_in_two_parts(port: int, request: bytes, *, split_at: int) -> bytes:
+    """Send a request on a new connection, with a pause; return what comes until it is closed."""
+    reply = b""
+    sock = socket.create_connection(("127.0.0.1", port), timeout=STOP_S)
+    with sock, contextlib.suppress(ConnectionError):
+        sock.sendall(request[:split_at])
+        time.sleep(0.02)
+        sock.sendall(request[split_at:])
+        while part := sock.recv(4096):
+            reply += part
+    return reply
