Wait until the daemon listens before a test connects to it

The test of the end of a stop failed twice in nine runs with "Connection refused" from its first connection: the daemon logs its start some time before it listens.

--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -134,7 +134,7 @@
     signals_left = [signal.SIGHUP, signal.SIGTERM]
     with open_daemon(tmp_path, build_settings(ports)) as process:
         # An idle connection of another caller.
-        with socket.create_connection(("127.0.0.1", ports[0])):
+        with connect_when_listening(ports[0]):
             process.send_signal(signal.SIGTERM)
             wait_logged(tmp_path, "event=stopping ")
             while process.poll() is None:
@@ -148,6 +148,16 @@
     assert all(b"connection: close" in reply.lower() for reply in replies[:-1])
 
 
+def connect_when_listening(port: int) -> socket.socket:
+    """Return a connection to a daemon, which listens some time after it has logged its start."""
+    ends_at = time.monotonic() + START_S
+    while time.monotonic() < ends_at:
+        with contextlib.suppress(ConnectionRefusedError):
+            return socket.create_connection(("127.0.0.1", port))
+        time.sleep(0.02)
+    raise AssertionError("the daemon does not listen")
+
+
 def send_in_two_parts(port: int, request: bytes, *, split_at: int) -> bytes:
     """Send a request on a new connection, with a pause; return what comes until it is closed."""
     reply = b""
