Do not wait in a stop for callers to close answered connections

Cause: a connection that is drained after its last answer, for up to 1 s, counted as one with a request.

The caller has its answer and the end of the connection, and the quiet time leaves 0.25 s to read a refusal.

--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -38,7 +38,8 @@
     """One HTTP/1.1 connection.
 
     ``received_bytes`` tells a slow connection from a silent one. ``is_writing`` stays true if a
-    write is cancelled, as the peer may have received a part of it.
+    write is cancelled, as the peer may have received a part of it. ``is_draining`` is set when the
+    last reply has been sent and further bytes of the peer are discarded.
     """
 
     stream: trio.abc.Stream
@@ -46,6 +47,7 @@
     received_bytes: int = 0
     is_reused: bool = False
     is_writing: bool = False
+    is_draining: bool = False
     # Events read since other tasks had a turn.
     events_since_yield: int = 0
     # One task may read a body while another sends the response; both may have to write.
@@ -335,6 +337,7 @@
 
     :param wire: a server side that has sent its last reply.
     """
+    wire.is_draining = True
     stream = wire.stream
     try:
         if isinstance(stream, trio.abc.HalfCloseableStream):
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -160,11 +160,11 @@
 
 
 def is_busy(front: Front) -> bool:
-    """Return whether a connection has a request in any phase, from its first byte on.
+    """Return whether a connection has a request in any phase, from its first byte to its answer.
 
     :param front: the listener's state.
     """
-    return not all(wire.is_between_requests(conn) for conn in front.conns)
+    return not all(conn.is_draining or wire.is_between_requests(conn) for conn in front.conns)
 
 
 def is_quiet(front: Front, quiet_s: float) -> bool:
@@ -176,7 +176,7 @@
     if is_busy(front) or front.now() < front.refused_at_s + quiet_s:
         return False
     # The check of the sockets takes a system call for each.
-    return all(wire.is_quiet(conn) for conn in front.conns)
+    return all(conn.is_draining or wire.is_quiet(conn) for conn in front.conns)
 
 
 async def _serve_one(front: Front, conn: wire.Wire) -> bool:
--- a/tests/request/test_front.py
+++ b/tests/request/test_front.py
@@ -357,3 +357,20 @@
     front.drain(listener)
     reply = await serve_on_sockets(listener, data)
     assert reply.startswith(b"HTTP/1.1 " + status)
+
+
+async def test_caller_that_keeps_its_connection_does_not_delay_the_stop(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a stop that waits for callers to close connections that are of no use."""
+    listener = build_front()
+    near, far = trio.testing.memory_stream_pair()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(front.serve, listener, far)
+        front.stop(listener)
+        await near.send_all(GOOD)
+        await trio.sleep(0.2)
+        assert not front.is_quiet(listener, 0.25)
+        await trio.sleep(0.1)
+        assert front.is_quiet(listener, 0.25)
+        nursery.cancel_scope.cancel()
