Log the phases of a stop

event=refusing and event=cut-off say when a stopping node took no more requests and how many were in flight then and at the end of the grace period, so that a cut in the log can be told from a stop.

--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -420,12 +420,14 @@
         daemon.node.is_ending = True
         front.stop(daemon.callers)
         front.stop(daemon.peers)
+        decision.record(log, logging.INFO, "refusing", requests=len(daemon.origin.scopes))
         delivery.refuse_waiting(daemon.origin.delivery)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(announce_end, daemon)
             await wait_until_quiet(daemon)
             nursery.cancel_scope.cancel()
         return
+    decision.record(log, logging.INFO, "cut-off", requests=len(daemon.origin.scopes))
     origin.cut_off(daemon.origin)
     front.cut_off(daemon.callers)
     front.cut_off(daemon.peers)
