Repeat a hop to a node that does not know the service yet

What callers saw: after a change that added a service, and at a node that had just started, a request whose key belongs to another node could get 404 or 503 from that node although its own node knew the service. Callers do not repeat a request after 404. This is the product's own path (ebonyvalved).

Cause: nodes apply a version at different moments. The second node judged the request by its own version and refused with "no-such-service", or with "no-configuration" if it had none yet; neither was among the refusals after which the first node tries again, so that it passed them on.

Why it works: on a hop, an unknown service means that the versions differ, which is a refusal for the moment. The request waits as for a key's next owner, or goes to another target, and is refused with 503 at its deadline.

--- a/src/ebonyvalve/request/handler.py
+++ b/src/ebonyvalve/request/handler.py
@@ -33,6 +33,7 @@
     {
         outcome.Reason.CONNECT_FAILED,
         outcome.Reason.LEASE_LAPSED,
+        outcome.Reason.NO_CONFIGURATION,
         outcome.Reason.NO_TARGET,
         outcome.Reason.STALE_FENCE,
         outcome.Reason.STOPPING,
@@ -84,7 +85,8 @@
     service = None if current is None else current.services.get(call.service)
     if service is None:
         reason = outcome.Reason.NO_SUCH_SERVICE
-        if current is None:
+        if current is None or call.is_hop:
+            # The node that sent the hop has the service in its version of the configuration.
             reason = outcome.Reason.NO_CONFIGURATION
         result = await _send_completion(caller, exchange.Completion(result=outcome.refuse(reason)))
     else:
--- a/src/ebonyvalve/request/retry.py
+++ b/src/ebonyvalve/request/retry.py
@@ -11,6 +11,7 @@
 # Reasons after which another attempt may succeed. The others would recur at every node.
 TRANSIENT = frozenset(
     {
+        outcome.Reason.NO_CONFIGURATION,
         outcome.Reason.NO_TARGET,
         outcome.Reason.LEASE_LAPSED,
         outcome.Reason.QUEUE_FULL,
