Keep an exception in one request from ending the process

What callers would see: an exception in the handling of one request, such as a KeyError for a name that a new version of the configuration no longer has, ended the process. All requests on it ended with closed connections.

Cause: the connections of a listener are tasks of one nursery, and nothing between a request and that nursery caught exceptions.

Evidence: the new tests; before, "KeyError: 'service'" left the listener.

Why it works: the exception is logged with its traceback, the caller gets 502, which promises nothing, if no part of a reply was sent, and the connection is closed. A violated invariant still ends the process, as before.

--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -12,6 +12,7 @@
 from returns import result
 import trio
 
+from ebonyvalve import errors
 from ebonyvalve.connection import wire
 from ebonyvalve.process import decision, identity
 from ebonyvalve.request import deadline, exchange, outcome
@@ -101,11 +102,24 @@
     try:
         while await _serve_one(front, conn):
             pass
+    except Exception as exc:
+        if _is_invariant_violated(exc):
+            raise
+        # A bug that one request meets must not end the requests of all other callers.
+        log.exception("request-failed")
+        await _reply_error(conn, outcome.unknown(outcome.Reason.CONNECTION_LOST), "internal error")
     finally:
         front.connections -= 1
         await wire.close(conn)
 
 
+def _is_invariant_violated(exc: Exception) -> bool:
+    """Return whether an exception, or one of a group, means that the process must stop."""
+    if isinstance(exc, ExceptionGroup):
+        return exc.subgroup(errors.InvariantError) is not None
+    return isinstance(exc, errors.InvariantError)
+
+
 def stop(front: Front) -> None:
     """Close idle connections; those with a request in flight close after it.
 
--- a/tests/request/test_front.py
+++ b/tests/request/test_front.py
@@ -8,6 +8,7 @@
 import trio
 import trio.testing
 
+from ebonyvalve import errors
 from ebonyvalve.request import dispatch, exchange, front, outcome
 
 MAX_BODY_BYTES = 20_000
@@ -253,6 +254,50 @@
     assert trio.current_time() - start_s <= front.BODY_STALL_S + front.LINGER_S + 0.1
 
 
+@pytest.mark.parametrize("in_nursery", [False, True])
+async def test_exception_of_a_request_is_answered_and_ends_nothing_else(
+    autojump_clock: trio.testing.MockClock, in_nursery: bool
+) -> None:
+    """Guards against a bug in the handling of one request that ends the process."""
+    is_broken = True
+
+    async def fail(call: exchange.Call, caller: exchange.Caller) -> outcome.Outcome:
+        if not is_broken:
+            return await answer_all(call, caller)
+        if not in_nursery:
+            raise KeyError("service")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fail_later)
+        raise AssertionError("not reached")
+
+    async def fail_later() -> None:
+        raise KeyError("service")
+
+    listener = build_front()
+    listener.handle = fail
+    reply = await exchange_bytes(listener, GOOD)
+    assert reply.startswith(b"HTTP/1.1 502")
+    assert b"ebonyvalve-outcome: unknown" in reply
+    assert (listener.active_requests, listener.connections) == (0, 0)
+    is_broken = False
+    assert (await exchange_bytes(listener, GOOD)).startswith(b"HTTP/1.1 200")
+
+
+async def test_violated_invariant_ends_the_process(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a process that goes on in a state that it must not have."""
+
+    async def fail(call: exchange.Call, caller: exchange.Caller) -> outcome.Outcome:
+        raise errors.InvariantError("impossible")
+
+    listener = build_front()
+    listener.handle = fail
+    with pytest.raises(ExceptionGroup) as raised:
+        await exchange_bytes(listener, GOOD)
+    assert raised.value.subgroup(errors.InvariantError)
+
+
 async def test_connections_are_bounded(autojump_clock: trio.testing.MockClock) -> None:
     """Guards against callers that open more connections than the node can handle."""
     listener = build_front(max_connections=1)
