--- /dev/null
+++ b/tests/platform/change.py
@@ -0,0 +1,260 @@
+"""Runs daemons with targets on in-memory streams and a mock clock, without a store."""
+
+import collections.abc
+import dataclasses
+import functools
+
+import h11
+import msgspec
+import pytest
+import trio
+import trio.testing
+
+from ebonyvalve.platform import daemon, operator, sockets
+from ebonyvalve.process import http, identity, member, timer
+from ebonyvalve.process import node as node_module
+from ebonyvalve.process.keyspace import ledger
+from ebonyvalve.process.store import table
+from ebonyvalve.request import delivery, front
+from tests import places
+
+HOST = "shop.example"
+KEYED = "lookup"
+SERVICES = {"a": KEYED, "b": "orders", "c": "orders", "d": "spare"}
+# Larger than the reply buffer, so that the caller gets the beginning before the reply is complete.
+LARGE_BYTES = 100_000
+WORK_S = 0.5
+
+
+@dataclasses.dataclass(kw_only=True)
+class World:
+    """The nodes by name, and the requests that each target has run."""
+
+    nursery: trio.Nursery
+    daemons: dict[str, daemon.Daemon] = dataclasses.field(default_factory=dict)
+    ran: dict[str, list[str]] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Client:
+    """A keep-alive connection of a caller."""
+
+    stream: trio.abc.Stream
+    http: h11.Connection = dataclasses.field(default_factory=lambda: h11.Connection(h11.CLIENT))
+
+
+def build_config(
+    version: int,
+    *,
+    routes: collections.abc.Mapping[str, object] | None = None,
+    services: collections.abc.Mapping[str, object] | None = None,
+    limits: collections.abc.Mapping[str, object] | None = None,
+    **fields: object,
+) -> bytes:
+    """Encode a configuration with changes.
+
+    ``routes`` has fields of routes by prefix and ``services`` those of services by name; ``None``
+    in place of the fields removes one. ``limits`` has fields of the limits, and ``fields`` those of
+    all routes.
+    """
+    all_routes: dict[str, dict[str, object]] = {
+        "/lookup/": {"backend": KEYED, "type": "idempotent"},
+        "/orders/": {"backend": "orders", "type": "non_idempotent"},
+        "/reads/": {"backend": "orders", "type": "idempotent"},
+    }
+    all_services: dict[str, dict[str, object]] = {
+        name: {"sharded": name == KEYED, "max_conns": 130} for name in SERVICES.values()
+    }
+    resources = []
+    for kind, known, changes in (
+        ("routes", all_routes, routes or {}),
+        ("services", all_services, services or {}),
+    ):
+        for name, change in changes.items():
+            if change is None:
+                del known[name]
+            else:
+                assert isinstance(change, dict)
+                known[name] = {**known.get(name, {"type": "idempotent"}), **change}
+        for name, spec in known.items():
+            if kind == "routes":
+                common = {"hostname": HOST, "prefix": name, "timeout_s": 3.0, "attempts": 2}
+                spec = {**common, **spec, **fields}
+            resources.append({"res_type": kind, "metadata": {"name": name}, "spec": spec})
+    all_limits = {
+        "max_header_bytes": 8192,
+        "max_body_bytes": 20_000,
+        "header_timeout_s": 3.0,
+        "idle_timeout_s": 6.0,
+        **(limits or {}),
+    }
+    resources.append({"res_type": "limits", "metadata": {}, "spec": all_limits})
+    return msgspec.json.encode({"version": f"{version:08x}", "resources": resources})
+
+
+def apply_config(running: daemon.Daemon, config: bytes, version: int) -> None:
+    """Apply a configuration at a node, as if the store had sent it."""
+    name = table.Name(table=operator.OPERATOR_TABLE, key=operator.CONFIG_KEY)
+    row = table.Row(name=name, value=config, version=version, is_removed=False)
+    rows = table.Rows(rows=(row,), version=version, clock=None)
+    operator.apply(running.node, running.origin.current, rows, is_whole=False)
+    assert running.node.refusal_reasons == ()
+
+
+async def serve_target(world: World, name: str, stream: trio.abc.Stream) -> None:
+    """Answer requests; the last part of the path says how."""
+    protocol = h11.Connection(h11.SERVER)
+    try:
+        while True:
+            head, body = await http.receive_message(stream, protocol)
+            if not isinstance(head, h11.Request):
+                return
+            headers = {key.decode(): value.decode() for key, value in head.headers}
+            world.ran[name].append(headers["x-attempt-id"])
+            kind = head.target.decode().rpartition("/")[2]
+            if kind != "fast":
+                await trio.sleep(WORK_S)
+            if kind == "break" and sum(map(len, world.ran.values())) == 1:
+                return
+            content = (
+                b"x" * LARGE_BYTES if kind == "large" else b"%s %d" % (name.encode(), len(body))
+            )
+            reply = h11.Response(
+                status_code=200,
+                headers=[
+                    ("content-length", str(len(content))),
+                    ("x-attempt-id", headers["x-attempt-id"]),
+                    ("x-response-seal", "seal"),
+                ],
+            )
+            if kind == "large":
+                half = h11.Data(data=content[:90_000])
+                await stream.send_all((protocol.send(reply) or b"") + (protocol.send(half) or b""))
+                await trio.sleep(WORK_S)
+                parts = [h11.Data(data=content[90_000:]), h11.EndOfMessage()]
+                await stream.send_all(b"".join(protocol.send(part) or b"" for part in parts))
+            else:
+                await http.send_message(stream, protocol, reply, content)
+            protocol.start_next_cycle()
+    except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError):
+        # The node closed the connection.
+        return
+    finally:
+        await trio.aclose_forcefully(stream)
+
+
+async def open_world(nursery: trio.Nursery, monkeypatch: pytest.MonkeyPatch) -> World:
+    """Start the nodes of ``SERVICES`` with a target each, in one configuration."""
+    world = World(nursery=nursery)
+    monkeypatch.setattr(sockets, "connect", functools.partial(connect, world))
+    monkeypatch.setattr(timer, "read_boot_clock", trio.current_time)
+    # The queue is also checked whenever a request ends.
+    monkeypatch.setattr(delivery, "QUEUE_CHECK_INTERVAL_S", daemon.SWEEP_INTERVAL_S)
+    address = "10.0.0.1:1"
+    for name, service in SERVICES.items():
+        place = places.build_place(name, service, address, heartbeat_s=1.0, store=address)
+        place = dataclasses.replace(place, target_address=identity.Address(f"target-{name}:1"))
+        world.ran[name] = []
+        running = world.daemons[name] = daemon.build(place)
+        apply_config(running, build_config(1), 1)
+        lifetime = identity.Lifetime(f"i-{name}@1")
+        target = node_module.Target(
+            lifetime=lifetime,
+            started_at_ms=1,
+            slots=2,
+            state=member.TargetState.READY,
+            reported_at=0.0,
+            # The keys of its ledger count as granted.
+            is_assumed=True,
+        )
+        node_module.set_target(running.node, target, 0.0)
+        nursery.start_soon(timer.run, running.timer)
+        nursery.start_soon(delivery.run_queue, running.origin.delivery)
+        nursery.start_soon(daemon.sweep, running)
+    span = ledger.Span(first=0, last=identity.LAST_KEY_SLOT, fence=1, node="a", holder="i-a@1")
+    versioned = node_module.VersionedLedger(ledger=ledger.Ledger(spans=(span,)), version=1)
+    for running in world.daemons.values():
+        running.node.ledgers[identity.ServiceId(KEYED)] = versioned
+        for name, service in SERVICES.items():
+            running.node.members[identity.NodeId(name)] = member.Member(
+                node=identity.NodeId(name),
+                address=identity.Address(f"peers-{name}:1"),
+                zone=identity.ZoneId("z1"),
+                service=identity.ServiceId(service),
+                lifetime=identity.Lifetime(f"i-{name}@1"),
+                slots=2,
+                state=member.TargetState.READY,
+            )
+    # The nodes apply limits periodically.
+    await trio.sleep(2 * daemon.SWEEP_INTERVAL_S)
+    return world
+
+
+def set_granted(running: daemon.Daemon, *, is_granted: bool) -> None:
+    """Set whether a node's target has the keys that the ledger assigns to it."""
+    target = running.node.target
+    assert target is not None
+    running.node.target = dataclasses.replace(
+        target, is_assumed=is_granted, reported_at=trio.current_time()
+    )
+    node_module.notify_changed(running.node)
+
+
+async def connect(world: World, address: str) -> trio.abc.Stream:
+    """Open a connection to the callers' or the peers' address of a node, or to its target."""
+    kind, _, name = address.removesuffix(":1").partition("-")
+    near, far = trio.testing.memory_stream_pair()
+    if kind == "target":
+        world.nursery.start_soon(serve_target, world, name, far)
+    elif name not in world.daemons:
+        raise OSError("nobody listens")
+    else:
+        running = world.daemons[name]
+        listener = running.peers if kind == "peers" else running.callers
+        world.nursery.start_soon(front.serve, listener, far)
+    return near
+
+
+async def open_client(world: World, name: str) -> Client:
+    return Client(stream=await connect(world, f"callers-{name}"))
+
+
+def build_head(client: Client, path: str, request_id: str, *, body: str = "") -> bytes:
+    """Return the head of a request; ``body`` is the header that announces a body."""
+    method = "POST" if path.startswith("/orders/") else "GET"
+    lines = [f"{method} {path} HTTP/1.1", f"host: {HOST}", f"x-attempt-id: {request_id}"]
+    lines += ["x-shard-key: 7", body or "content-length: 0"]
+    # h11 only parses the answer; the bytes of the request are written by the test.
+    client.http.send(h11.Request(method=method, target="/", headers=[("host", "x")]))
+    client.http.send(h11.EndOfMessage())
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+async def receive(client: Client) -> tuple[int, bytes]:
+    """Return status and body of the answer, or 0 if the connection ended before its end."""
+    status, body = 0, b""
+    while True:
+        try:
+            event = client.http.next_event()
+        except h11.RemoteProtocolError:
+            return 0, body
+        if event is h11.NEED_DATA:
+            try:
+                client.http.receive_data(bytes(await client.stream.receive_some()))
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return 0, body
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+        elif isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage):
+            if client.http.our_state is h11.DONE and client.http.their_state is h11.DONE:
+                client.http.start_next_cycle()
+            return status, body
+        elif not isinstance(event, h11.InformationalResponse):
+            return 0, body
+
+
+def find_ran(world: World, request_id: str) -> bytes:
+    """Return the name of the node whose target has run a request."""
+    return next(name for name, ids in world.ran.items() if request_id in ids).encode()
