Give heads the time that the configuration allows

What callers saw: a head that took longer than 10 s was closed without an answer although `header_timeout_s` of the configuration allowed more.

Cause: the configuration's value was decoded and never read.

Evidence: the new test, before: "BrokenResourceError: MemoryReceiveStream was closed" 10 s after the head had begun, of 30 s allowed, on a new connection and on a reused one.

Ruled out as the cause of the report: the users' example of a configuration allows 3 s, and a head that is cut is not a whole request.

Why it works: the listener reads the time when a head begins. It stays 10 s where the configuration allows less, as before, for callers that a busy machine slows down.

--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -187,7 +187,7 @@
         find_limits=functools.partial(find_limits, entry.current),
         is_hop=False,
         parse=dialect.build_parse(now),
-        read_idle_timeout=functools.partial(read_idle_timeout, entry.current),
+        read_timeouts=functools.partial(read_timeouts, entry.current),
         coalesces_head=True,
         max_connections=MAX_CONNECTIONS,
     )
@@ -329,14 +329,17 @@
     return 60.0, current.traffic.limits.max_body_bytes
 
 
-def read_idle_timeout(current: traffic.CurrentTraffic) -> float:
-    """Return after how many seconds idle connections of callers are closed.
+def read_timeouts(current: traffic.CurrentTraffic) -> front.Timeouts:
+    """Return the time-outs of callers' connections.
 
     :param current: the configuration in force.
     """
     if current.traffic is None:
-        return front.IDLE_TIMEOUT_S
-    return current.traffic.limits.idle_timeout_s
+        return front.Timeouts()
+    limits = current.traffic.limits
+    # Callers that are slower than they should be are given some time more.
+    head_s = max(front.HEAD_TIMEOUT_S, limits.head_timeout_s)
+    return front.Timeouts(idle_s=limits.idle_timeout_s, head_s=head_s)
 
 
 def build_ready_server(daemon: Daemon) -> network.Serve:
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -20,7 +20,6 @@
 log = logging.getLogger(__name__)
 
 IDLE_TIMEOUT_S = 60.0
-# For a whole head, and for the first bytes on a new connection.
 HEAD_TIMEOUT_S = 10.0
 # A part of the body that does not come within this time ends the request, so that slow callers
 # cannot occupy a slot of a target.
@@ -47,6 +46,18 @@
 Parse = collections.abc.Callable[["Front", h11.Request], exchange.Call | str]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Timeouts:
+    """Time-outs of connections in seconds.
+
+    ``idle_s`` is for the time between two requests; ``head_s`` for the wait for the first request,
+    and for each head from its first bytes on.
+    """
+
+    idle_s: float = IDLE_TIMEOUT_S
+    head_s: float = HEAD_TIMEOUT_S
+
+
 @dataclasses.dataclass(kw_only=True)
 class Front:
     """The state and settings of one listener.
@@ -54,9 +65,9 @@
     ``find_limits`` returns the default deadline in seconds and the largest body in bytes of a
     service; it does not limit the bodies that other nodes forward. ``is_hop`` marks the listener
     that only other nodes may use. ``parse`` parses the head of a request; the default is
-    :func:`parse_call`. ``read_idle_timeout`` returns after how many seconds idle connections are
-    closed; it may change. With ``coalesces_head`` the head of a reply is sent together with the
-    first part of its body, which saves a write.
+    :func:`parse_call`. ``read_timeouts`` returns the time-outs of connections, which may change.
+    With ``coalesces_head`` the head of a reply is sent together with the first part of its body,
+    which saves a write.
     """
 
     now: collections.abc.Callable[[], float]
@@ -64,7 +75,7 @@
     find_limits: collections.abc.Callable[[identity.ServiceId], tuple[float, int]]
     is_hop: bool
     parse: Parse | None = None
-    read_idle_timeout: collections.abc.Callable[[], float] = lambda: IDLE_TIMEOUT_S
+    read_timeouts: collections.abc.Callable[[], Timeouts] = Timeouts
     coalesces_head: bool = False
     max_connections: int = 1000
     connections: int = 0
@@ -180,7 +191,7 @@
     if not await _wait_while_idle(front, conn):
         return None
     # A head that has begun gets its own time, as callers may begin one until the idle time is over.
-    with trio.move_on_after(HEAD_TIMEOUT_S):
+    with trio.move_on_after(front.read_timeouts().head_s):
         received = await wire.receive(conn)
         if isinstance(received, result.Failure):
             failure: wire.WireFailure = received.failure()
@@ -194,7 +205,7 @@
 async def _wait_while_idle(front: Front, conn: wire.Wire) -> bool:
     """Wait for the next head to begin; return whether it did before the connection is to close."""
     started_at = trio.current_time()
-    timeout_s = front.read_idle_timeout() if conn.is_reused else HEAD_TIMEOUT_S
+    timeout_s = _find_wait(front, conn)
     while not front.is_stopping:
         with trio.move_on_at(started_at + timeout_s) as scope:
             front.idle_scopes.add(scope)
@@ -206,13 +217,19 @@
             return True
         # Callers rely on a time-out that has become longer also for connections that are idle
         # already. One that has become shorter applies to the next idle time only.
-        current_s = front.read_idle_timeout() if conn.is_reused else timeout_s
+        current_s = _find_wait(front, conn)
         if current_s <= timeout_s:
             return False
         timeout_s = current_s
     return False
 
 
+def _find_wait(front: Front, conn: wire.Wire) -> float:
+    """Return how many seconds a connection may be open without a request."""
+    timeouts = front.read_timeouts()
+    return timeouts.idle_s if conn.is_reused else timeouts.head_s
+
+
 def parse_call(front: Front, head: h11.Request) -> exchange.Call | str:
     """Return the request that a head describes, or a description of what is wrong with it.
 
--- a/tests/platform/test_change.py
+++ b/tests/platform/test_change.py
@@ -272,3 +272,28 @@
     assert [answer[0] for answer in answers] == [status] * len(answers)
     targets = "a" if phase is await_key else expected.targets
     assert status != 200 or {body[:1].decode() for _, body in answers} <= set(targets)
+
+
+@pytest.mark.parametrize("is_reused", [False, True])
+async def test_head_may_take_as_long_as_the_configuration_allows(
+    monkeypatch: pytest.MonkeyPatch, autojump_clock: trio.testing.MockClock, is_reused: bool
+) -> None:
+    """Guards against closing a connection without an answer in the middle of an allowed head.
+
+    The time for a head was 10 s, whatever the configuration said.
+    """
+    async with trio.open_nursery() as nursery:
+        world = await world_module.open_world(nursery, monkeypatch)
+        config = world_module.build_config(2, limits={"header_timeout_s": 30.0})
+        world_module.apply_config(world.daemons["a"], config, 2)
+        client = await world_module.open_client(world, "a")
+        if is_reused:
+            await client.stream.send_all(world_module.build_head(client, "/reads/fast", "r0"))
+            assert (await world_module.receive(client))[0] == 200
+        head = world_module.build_head(client, "/orders/work", "r1")
+        await client.stream.send_all(head[:40])
+        await trio.sleep(25.0)
+        await client.stream.send_all(head[40:])
+        # The time of the route counts from the last bytes of the head.
+        assert (await world_module.receive(client))[0] == 200
+        nursery.cancel_scope.cancel()
--- a/tests/request/test_front.py
+++ b/tests/request/test_front.py
@@ -202,7 +202,7 @@
     The idle time covered the whole head, so that one that began at its end had no time to arrive.
     """
     listener = build_front()
-    listener.read_idle_timeout = lambda: 5.0
+    listener.read_timeouts = lambda: front.Timeouts(idle_s=5.0)
     near, far = trio.testing.memory_stream_pair()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(front.serve, listener, far)
@@ -226,7 +226,7 @@
     """
     timeout_s = before_s
     listener = build_front()
-    listener.read_idle_timeout = lambda: timeout_s
+    listener.read_timeouts = lambda: front.Timeouts(idle_s=timeout_s)
     near, far = trio.testing.memory_stream_pair()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(front.serve, listener, far)
