Test that a request at the end of the idle time is read

Bytes that arrive in the same pass of the event loop in which the idle time ends are read before the deadline is looked at. The test fails if anything that can be cancelled comes between the bytes and the end of the idle time.

--- a/tests/request/test_front.py
+++ b/tests/request/test_front.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server against malformed input and hostile callers."""
 
 import functools
+import socket
 
 import hypothesis
 import hypothesis.strategies as st
@@ -239,6 +240,28 @@
         assert trio.current_time() - started_at == pytest.approx(max(before_s, after_s))
 
 
+async def test_request_that_arrives_as_the_idle_time_ends_is_read(
+    mock_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against closing a connection over a request that lies unread in the kernel.
+
+    A busy process learns of the request and of the end of the idle time in the same pass.
+    """
+    listener = build_front()
+    pair = socket.socketpair()
+    near, far = (trio.SocketStream(trio.socket.from_stdlib_socket(sock)) for sock in pair)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(front.serve, listener, far)
+        await near.send_all(GOOD)
+        assert await receive_reply(near)
+        await trio.testing.wait_all_tasks_blocked()
+        mock_clock.jump(2 * front.IDLE_TIMEOUT_S)
+        pair[0].send(GOOD)
+        assert await receive_reply(near)
+        nursery.cancel_scope.cancel()
+    near.socket.close()
+
+
 async def test_head_that_never_ends_is_cut_off(autojump_clock: trio.testing.MockClock) -> None:
     """Guards against a caller that occupies a connection by never finishing a head."""
     start_s = trio.current_time()
