--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -79,6 +79,36 @@
         wait_logged(tmp_path, "event=stop ")
 
 
+def test_reload_signal_during_the_start_does_not_end_the_process(
+    tmp_path: pathlib.Path, ports: list[int]
+) -> None:
+    """Guards against a SIGHUP that ends a process which has not begun to receive signals.
+
+    The settings file changes while the process starts.
+    """
+    pipe = tmp_path / "pipe"
+    os.mkfifo(pipe)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "ebonyvalve.platform"],
+        env={**os.environ, "EBONYVALVE_BOOT": str(pipe)},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+    )
+    try:
+        # The process opens its settings before it receives signals.
+        with pipe.open("wb") as writer:
+            process.send_signal(signal.SIGHUP)
+            settings_file = tmp_path / "local.toml"
+            settings_file.write_bytes(build_settings(ports))
+            settings_file.replace(pipe)
+            writer.write(build_settings(ports))
+        assert process.stdout is not None
+        assert b"event=start " in process.stdout.readline()
+    finally:
+        process.kill()
+        process.communicate()
+
+
 def test_changed_settings_are_applied(tmp_path: pathlib.Path, ports: list[int]) -> None:
     """Guards against a changed store address that is ignored.
 
