Drop the connection of a store call that outlasts a change of the address

What operators would see: after a change of the store's address in the settings, a node went on sending some of its calls to the old address for as long as that answered, and could miss changes of the configuration there.

Cause: a change of the address closes the idle connections to the old one, but a call that was under way put its connection back among the idle ones when it ended.

Evidence: the new test, before: the call after the change opened no connection, "['10.0.0.1:1'] == ['10.0.0.1:1', '10.0.0.2:1']".

Ruled out as a cause of the report: calls of the store are not in the path of a request.

Why it works: a connection is kept only if the address is still the one that the call began with.

--- a/src/ebonyvalve/platform/store.py
+++ b/src/ebonyvalve/platform/store.py
@@ -291,6 +291,7 @@
     timeout_s: float = CALL_TIMEOUT_S,
 ) -> Answer | table.Failure:
     asked_at = client.now()
+    address = client.address
     failure = table.Failure.UNKNOWN
     with trio.move_on_after(timeout_s):
         opened = await _take_idle(client) or await _connect(client)
@@ -313,6 +314,7 @@
         finally:
             if (
                 is_complete
+                and client.address == address
                 and opened[1].our_state is h11.DONE
                 and opened[1].their_state is h11.DONE
             ):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -44,6 +44,30 @@
     return Setup(state=state, client=client, store=store.open_store(client))
 
 
+async def test_connection_of_a_call_is_not_reused_after_a_redirect(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against calls to the old address of the store after the settings have changed.
+
+    The connection of a call that was under way during the change was kept for the next one.
+    """
+    setup = build(nursery)
+    connect = setup.client.connect
+    addresses: list[str] = []
+
+    async def record(address: str) -> trio.abc.Stream:
+        addresses.append(address)
+        return await connect(address)
+
+    setup.client.connect = record
+    nursery.start_soon(setup.store.read, TABLE)
+    await trio.sleep(0.001)
+    await store.redirect(setup.client, "10.0.0.2:1")
+    await trio.sleep(1.0)
+    assert isinstance(await setup.store.read(TABLE), table.Rows)
+    assert addresses == ["10.0.0.1:1", "10.0.0.2:1"]
+
+
 async def test_commit_under_a_condition(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
