--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -12,6 +12,7 @@
 from returns import result
 import trio
 
+from ebonyvalve import errors
 from ebonyvalve.connection import wire
 from ebonyvalve.process import decision, identity
 from ebonyvalve.request import deadline, exchange, outcome
@@ -19,7 +20,6 @@
 log = logging.getLogger(__name__)
 
 IDLE_TIMEOUT_S = 60.0
-# For a whole head, and for the first bytes on a new connection.
 HEAD_TIMEOUT_S = 10.0
 # A part of the body that does not come within this time ends the request, so that slow callers
 # cannot occupy a slot of a target.
@@ -67,6 +67,18 @@
     return refusal
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Timeouts:
+    """Time-outs of connections in seconds.
+
+    ``idle_s`` is for the time between two requests; ``head_s`` for the wait for the first request,
+    and for each head from its first bytes on.
+    """
+
+    idle_s: float = IDLE_TIMEOUT_S
+    head_s: float = HEAD_TIMEOUT_S
+
+
 @dataclasses.dataclass(kw_only=True)
 class Front:
     """The state and settings of one listener.
@@ -74,9 +86,9 @@
     ``find_limits`` returns the default deadline in seconds and the largest body in bytes of a
     service; it does not limit the bodies that other nodes forward. ``is_hop`` marks the listener
     that only other nodes may use. ``parse`` parses the head of a request; the default is
-    :func:`parse_call`. ``read_idle_timeout`` returns after how many seconds idle connections are
-    closed; it may change. With ``coalesces_head`` the head of a reply is sent together with the
-    first part of its body, which saves a write.
+    :func:`parse_call`. ``read_timeouts`` returns the time-outs of connections, which may change.
+    With ``coalesces_head`` the head of a reply is sent together with the first part of its body,
+    which saves a write.
 
     While ``is_stopping``, answers say that the connection closes after them. While ``is_refusing``,
     requests are given to ``refuse`` as soon as their head was read, also those whose body was still
@@ -89,7 +101,7 @@
     find_limits: collections.abc.Callable[[identity.ServiceId], tuple[float, int]]
     is_hop: bool
     parse: Parse | None = None
-    read_idle_timeout: collections.abc.Callable[[], float] = lambda: IDLE_TIMEOUT_S
+    read_timeouts: collections.abc.Callable[[], Timeouts] = Timeouts
     coalesces_head: bool = False
     max_connections: int = 1000
     refuse: Handle = refuse_stopping
@@ -128,12 +140,25 @@
     try:
         while await _serve_one(front, conn):
             pass
+    except Exception as exc:
+        if _is_invariant_violated(exc):
+            raise
+        # A bug that one request meets must not end the requests of all other callers.
+        log.exception("request-failed")
+        await _reply_error(conn, outcome.unknown(outcome.Reason.CONNECTION_LOST), "internal error")
     finally:
         front.conns.discard(conn)
         _record_unread(front, conn)
         await wire.close(conn)
 
 
+def _is_invariant_violated(exc: Exception) -> bool:
+    """Return whether an exception, or one of a group, means that the process must stop."""
+    if isinstance(exc, ExceptionGroup):
+        return exc.subgroup(errors.InvariantError) is not None
+    return isinstance(exc, errors.InvariantError)
+
+
 def drain(front: Front) -> None:
     """Ask callers to leave: every answer from now on is the last one on its connection.
 
@@ -277,7 +302,7 @@
     if not await _wait_while_idle(front, conn):
         return None
     # A head that has begun gets its own time, as callers may begin one until the idle time is over.
-    with trio.move_on_after(HEAD_TIMEOUT_S) as scope:
+    with trio.move_on_after(front.read_timeouts().head_s) as scope:
         front.head_scopes[conn] = scope
         try:
             received = await wire.receive(conn)
@@ -298,19 +323,25 @@
 async def _wait_while_idle(front: Front, conn: wire.Wire) -> bool:
     """Wait for the next head to begin; return whether it did before the connection is to close."""
     started_at = trio.current_time()
-    timeout_s = front.read_idle_timeout() if conn.is_reused else HEAD_TIMEOUT_S
+    timeout_s = _find_wait(front, conn)
     while True:
         with trio.move_on_at(started_at + timeout_s):
             await wire.wait_for_message(conn)
             return True
         # Callers rely on a time-out that has become longer also for connections that are idle
         # already. One that has become shorter applies to the next idle time only.
-        current_s = front.read_idle_timeout() if conn.is_reused else timeout_s
+        current_s = _find_wait(front, conn)
         if current_s <= timeout_s:
             return False
         timeout_s = current_s
 
 
+def _find_wait(front: Front, conn: wire.Wire) -> float:
+    """Return how many seconds a connection may be open without a request."""
+    timeouts = front.read_timeouts()
+    return timeouts.idle_s if conn.is_reused else timeouts.head_s
+
+
 def parse_call(front: Front, head: h11.Request) -> exchange.Call | str:
     """Return the request that a head describes, or a description of what is wrong with it.
 
--- a/tests/request/test_front.py
+++ b/tests/request/test_front.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server against malformed input and hostile callers."""
 
 import functools
+import socket
 
 import hypothesis
 import hypothesis.strategies as st
@@ -8,6 +9,7 @@
 import trio
 import trio.testing
 
+from ebonyvalve import errors
 from ebonyvalve.request import dispatch, exchange, front, origin, outcome
 
 MAX_BODY_BYTES = 20_000
@@ -228,7 +230,7 @@
     The idle time covered the whole head, so that one that began at its end had no time to arrive.
     """
     listener = build_front()
-    listener.read_idle_timeout = lambda: 5.0
+    listener.read_timeouts = lambda: front.Timeouts(idle_s=5.0)
     near, far = trio.testing.memory_stream_pair()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(front.serve, listener, far)
@@ -252,7 +254,7 @@
     """
     timeout_s = before_s
     listener = build_front()
-    listener.read_idle_timeout = lambda: timeout_s
+    listener.read_timeouts = lambda: front.Timeouts(idle_s=timeout_s)
     near, far = trio.testing.memory_stream_pair()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(front.serve, listener, far)
@@ -265,6 +267,28 @@
         assert trio.current_time() - started_at == pytest.approx(max(before_s, after_s))
 
 
+async def test_request_that_arrives_as_the_idle_time_ends_is_read(
+    mock_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against closing a connection over a request that lies unread in the kernel.
+
+    A busy process learns of the request and of the end of the idle time in the same pass.
+    """
+    listener = build_front()
+    pair = socket.socketpair()
+    near, far = (trio.SocketStream(trio.socket.from_stdlib_socket(sock)) for sock in pair)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(front.serve, listener, far)
+        await near.send_all(GOOD)
+        assert await receive_reply(near)
+        await trio.testing.wait_all_tasks_blocked()
+        mock_clock.jump(2 * front.IDLE_TIMEOUT_S)
+        pair[0].send(GOOD)
+        assert await receive_reply(near)
+        nursery.cancel_scope.cancel()
+    near.socket.close()
+
+
 async def test_head_that_never_ends_is_cut_off(autojump_clock: trio.testing.MockClock) -> None:
     """Guards against a caller that occupies a connection by never finishing a head."""
     start_s = trio.current_time()
@@ -280,6 +304,50 @@
     assert trio.current_time() - start_s <= front.BODY_STALL_S + front.LINGER_S + 0.1
 
 
+@pytest.mark.parametrize("in_nursery", [False, True])
+async def test_exception_of_a_request_is_answered_and_ends_nothing_else(
+    autojump_clock: trio.testing.MockClock, in_nursery: bool
+) -> None:
+    """Guards against a bug in the handling of one request that ends the process."""
+    is_broken = True
+
+    async def fail(call: exchange.Call, caller: exchange.Caller) -> outcome.Outcome:
+        if not is_broken:
+            return await answer_all(call, caller)
+        if not in_nursery:
+            raise KeyError("service")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fail_later)
+        raise AssertionError("not reached")
+
+    async def fail_later() -> None:
+        raise KeyError("service")
+
+    listener = build_front()
+    listener.handle = fail
+    reply = await exchange_bytes(listener, GOOD)
+    assert reply.startswith(b"HTTP/1.1 502")
+    assert b"ebonyvalve-outcome: unknown" in reply
+    assert (listener.active_requests, listener.connections) == (0, 0)
+    is_broken = False
+    assert (await exchange_bytes(listener, GOOD)).startswith(b"HTTP/1.1 200")
+
+
+async def test_violated_invariant_ends_the_process(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a process that goes on in a state that it must not have."""
+
+    async def fail(call: exchange.Call, caller: exchange.Caller) -> outcome.Outcome:
+        raise errors.InvariantError("impossible")
+
+    listener = build_front()
+    listener.handle = fail
+    with pytest.raises(ExceptionGroup) as raised:
+        await exchange_bytes(listener, GOOD)
+    assert raised.value.subgroup(errors.InvariantError)
+
+
 async def test_connections_are_bounded(autojump_clock: trio.testing.MockClock) -> None:
     """Guards against callers that open more connections than the node can handle."""
     listener = build_front(max_connections=1)
