Abort a request at a node that seems lost only if another attempt follows

What callers saw: in calm, beside planned work, repeatable requests ended with 502 while their answers were on the way.

Cause: the pool aborted what its route allows to repeat (is_repeatable), not what will be sent again. A missed ping, which takes 0.35 s, shows little in calm where links queue answers for longer than that, so such an abort only loses the answer.

An attempt now claims its repeat before it is aborted early: attempts, time, retry budget and a node that was not tried yet. The budget is charged at once, since the requests at one node are aborted together.

Ruled out: broken connections (no attempt ended by the other end) and changes of the configuration.

The new tests of requests that survive missed pings fail without the change, and so does that of the budget.

--- a/src/ebonyvalve/connection/pool.py
+++ b/src/ebonyvalve/connection/pool.py
@@ -27,6 +27,11 @@
     UNREACHABLE = "unreachable"
 
 
+def permit_repeat() -> bool:
+    """Permit the abort of a request whose repeat nothing limits."""
+    return True
+
+
 class PoolFailure(enum.Enum):
     """Why no connection could be acquired."""
 
@@ -40,11 +45,13 @@
     """A pooled connection, its liveness state and the state of its current request.
 
     ``scope`` is the cancel scope of the current request. ``is_repeatable`` says that the request
-    may be sent again, ``has_response_head`` that the head of its response has arrived, and
-    ``is_reply_begun`` that a part of the response was passed on to the caller. ``abort_reason`` is
-    set if the node ended the request before its response was complete. ``refused_ids`` are the ids
-    of requests that were refused on the connection. ``must_close`` forbids reuse: a further
-    response might be a repetition of an earlier one, or ``refused_ids`` is full.
+    may be sent again. ``claim_repeat`` returns whether it will be if it is aborted now, and charges
+    the repeat to the retry budget. ``has_response_head`` says that the head of its response has
+    arrived, and ``is_reply_begun`` that a part of the response was passed on to the caller.
+    ``abort_reason`` is set if the node ended the request before its response was complete.
+    ``refused_ids`` are the ids of requests that were refused on the connection. ``must_close``
+    forbids reuse: a further response might be a repetition of an earlier one, or ``refused_ids`` is
+    full.
     """
 
     connection_id: liveness.ConnectionId
@@ -53,6 +60,7 @@
     conn: wire.Wire | None = None
     abort_reason: AbortReason | None = None
     is_repeatable: bool = True
+    claim_repeat: collections.abc.Callable[[], bool] = permit_repeat
     has_response_head: bool = False
     is_reply_begun: collections.abc.Callable[[], bool] = lambda: False
     refused_ids: set[str] = dataclasses.field(default_factory=set)
@@ -179,6 +187,8 @@
     if not wire.recycle(pooled.conn):
         return False
     liveness.record_idle(pooled.state, pool.now())
+    # An idle connection must not keep its last request in memory.
+    pooled.claim_repeat = permit_repeat
     _notify_freed(pool)
     return True
 
@@ -247,10 +257,11 @@
                 await discard(pool, address, idle)
         states = {conn_id: pooled.state for conn_id, pooled in connections.items()}
         for conn_id in liveness.find_silent(states, now=pool.now(), p99_s=p99_s):
-            if not connections[conn_id].is_repeatable or connections[conn_id].is_reply_begun():
+            pooled = connections[conn_id]
+            if not pooled.is_repeatable or pooled.is_reply_begun() or not pooled.claim_repeat():
                 continue
-            connections[conn_id].abort_reason = AbortReason.SILENT
-            connections[conn_id].scope.cancel()
+            pooled.abort_reason = AbortReason.SILENT
+            pooled.scope.cancel()
             decision.record(
                 log,
                 logging.WARNING,
@@ -304,19 +315,26 @@
     :param address: the remote address.
     :param cutoff: seconds on the node's clock; requests that were sent or received bytes after it
         are not aborted. ``None`` aborts none of them.
-    :param cautious_cutoff: the same for requests that may not be sent again and for those whose
+    :param cautious_cutoff: the same for requests that can't be sent again and for those whose
         response has started to arrive. It should not be later: aborting them loses more.
     """
     for pooled in pool.connections.get(address, {}).values():
-        needs_caution = pooled.has_response_head or not pooled.is_repeatable
-        effective_cutoff = cautious_cutoff if needs_caution else cutoff
-        if effective_cutoff is None or pooled.is_reply_begun():
+        if pooled.is_reply_begun():
             continue
-        if liveness.is_silent(pooled.state, effective_cutoff):
+        if _is_silent(pooled, cautious_cutoff) or (
+            pooled.is_repeatable
+            and not pooled.has_response_head
+            and _is_silent(pooled, cutoff)
+            and pooled.claim_repeat()
+        ):
             pooled.abort_reason = AbortReason.UNREACHABLE
             pooled.scope.cancel()
 
 
+def _is_silent(pooled: PooledConnection, cutoff: float | None) -> bool:
+    return cutoff is not None and liveness.is_silent(pooled.state, cutoff)
+
+
 def _remove(pool: Pool, address: identity.Address, pooled: PooledConnection) -> None:
     pool.connections[address].pop(pooled.connection_id, None)
     _notify_freed(pool)
--- a/src/ebonyvalve/request/attempt.py
+++ b/src/ebonyvalve/request/attempt.py
@@ -26,7 +26,8 @@
     on, and ``correlate`` says which request a reply names. ``p99_s`` is the 99th percentile of
     reply times. ``max_idle_s`` bounds the idle time of a reused connection; see
     :func:`pool.acquire`. With ``awaits_continue`` the rest of a body is sent only after a
-    "100 Continue".
+    "100 Continue". ``claim_repeat`` returns whether another attempt follows if this one is aborted,
+    and charges it; see :class:`pool.PooledConnection`.
     """
 
     pool: pool.Pool
@@ -37,6 +38,7 @@
     max_idle_s: float | None = None
     awaits_continue: bool = False
     correlate: dispatch.Correlate | None = None
+    claim_repeat: collections.abc.Callable[[], bool] | None = None
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -101,6 +103,7 @@
             return
         connection = acquired.unwrap()
         connection.is_repeatable = call.rules is None or call.rules.is_repeatable
+        connection.claim_repeat = context.claim_repeat or pool.permit_repeat
         connection.has_response_head = False
         connection.abort_reason = None
         connection.is_reply_begun = caller.is_reply_begun
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -87,6 +87,21 @@
     key_slot: int | None
 
 
+@dataclasses.dataclass(kw_only=True)
+class Attempts:
+    """The attempts that were made for one request, including the current one.
+
+    ``tried`` are their nodes in order, ``excluded`` those that are not tried again.
+    ``unknown_count`` counts the attempts that may have run. ``is_repeat_charged`` says that the
+    attempt after the current one was charged to the retry budget when the current one was aborted.
+    """
+
+    tried: list[identity.NodeId]
+    excluded: set[identity.NodeId] = dataclasses.field(default_factory=set)
+    unknown_count: int = 0
+    is_repeat_charged: bool = False
+
+
 def resolve(origin: Origin, call: exchange.Call, head: RequestHead) -> outcome.Outcome | None:
     """Set a request's service, rules and deadline from its route.
 
@@ -211,18 +226,19 @@
     assert rules is not None
     node = origin.node
     retry_budget = budget.find_budget(node.budget, call.service)
-    unknown_count = 0
-    excluded: set[identity.NodeId] = set()
+    attempts = Attempts(tried=tried)
     completion = delivery.Completion(
         result=outcome.refuse(outcome.Reason.NO_TARGET), retry_after_s=RETRY_AFTER_S
     )
     owner: identity.NodeId | None = None
     for attempt_index in range(MAX_ATTEMPTS):
-        name = _choose_node(origin, call, rules, excluded, owner=owner)
+        name = _choose_node(origin, call, rules, attempts.excluded, owner=owner)
         if name is None:
             break
         tried.append(name)
-        completion = await _try_one(origin, call, caller, name)
+        attempts.is_repeat_charged = False
+        claim_repeat = functools.partial(_claim_repeat, origin, call, attempts)
+        completion = await _try_one(origin, call, caller, name, claim_repeat)
         verdict = completion.result.verdict
         if (
             verdict is outcome.Verdict.ANSWERED
@@ -233,15 +249,15 @@
         if completion.result.reason in FINAL_REASONS:
             break
         if verdict is outcome.Verdict.UNKNOWN:
-            unknown_count += 1
-            may_repeat = rules.is_repeatable and unknown_count < rules.max_attempts
+            attempts.unknown_count += 1
+            may_repeat = rules.is_repeatable and attempts.unknown_count < rules.max_attempts
             if not may_repeat or not _has_time(origin, call, name):
                 break
-            if not budget.spend(retry_budget):
+            if not attempts.is_repeat_charged and not budget.spend(retry_budget):
                 break
         if completion.result.reason in TARGET_REFUSALS and not budget.spend(retry_budget):
             break
-        excluded.add(name)
+        attempts.excluded.add(name)
         if rules.key_slot is not None:
             if completion.result.reason not in RETRYABLE_FOR_KEY:
                 break
@@ -249,13 +265,49 @@
             owner = completion.owner
             if not is_new_owner:
                 await node_module.pause(node, MOVED_RETRY_DELAY_S * (attempt_index + 1))
-    if unknown_count and completion.result.verdict is outcome.Verdict.NOT_RUN:
+    if attempts.unknown_count and completion.result.verdict is outcome.Verdict.NOT_RUN:
         # An earlier attempt may have run, so the refusal of the last one does not show that the
         # request has not run.
         completion.result = outcome.unknown(outcome.Reason.CONNECTION_LOST)
     return completion
 
 
+def _claim_repeat(origin: Origin, call: exchange.Call, attempts: Attempts) -> bool:
+    """Return whether a request is sent again if its current attempt is aborted, and charge that.
+
+    It is charged at once, because the requests at a node that seems to be lost are aborted
+    together. Requests for keys are aborted in any case: no other node can answer them before the
+    key moves, and their callers may try again until then.
+    """
+    rules = call.rules
+    assert rules is not None
+    if rules.key_slot is not None:
+        return True
+    current = attempts.tried[-1]
+    if (
+        not call.is_body_buffered
+        or len(attempts.tried) >= MAX_ATTEMPTS
+        or attempts.unknown_count + 1 >= rules.max_attempts
+        or not _has_time(origin, call, current)
+        or not _has_alternative(origin, call, {*attempts.excluded, current})
+    ):
+        return False
+    if not attempts.is_repeat_charged:
+        retry_budget = budget.find_budget(origin.node.budget, call.service)
+        attempts.is_repeat_charged = budget.spend(retry_budget)
+    return attempts.is_repeat_charged
+
+
+def _has_alternative(origin: Origin, call: exchange.Call, excluded: set[identity.NodeId]) -> bool:
+    """Return whether a request without a key could be sent to a node that was not tried yet."""
+    node = origin.node
+    return any(
+        candidate.node not in excluded
+        and node_module.read_view(node, candidate.node).avoid_until <= node.now()
+        for candidate in node_module.list_open_members(node, call.service)
+    )
+
+
 def _has_time(origin: Origin, call: exchange.Call, name: identity.NodeId) -> bool:
     """Return whether another attempt can be expected to be answered before the deadline.
 
@@ -312,9 +364,16 @@
 
 
 async def _try_one(
-    origin: Origin, call: exchange.Call, caller: exchange.Caller, name: identity.NodeId
+    origin: Origin,
+    call: exchange.Call,
+    caller: exchange.Caller,
+    name: identity.NodeId,
+    claim_repeat: collections.abc.Callable[[], bool] = pool.permit_repeat,
 ) -> delivery.Completion:
-    """Try a request at one node, this one or another, and update what is known of its target."""
+    """Try a request at one node, this one or another, and update what is known of its target.
+
+    ``claim_repeat`` returns whether another attempt follows if this one is aborted.
+    """
     node = origin.node
     view = node_module.read_view(node, name)
     if call.rules is not None and call.rules.key_slot is not None:
@@ -333,7 +392,7 @@
             completion = await delivery.run(origin.delivery, call, caller)
             selection.record_load(view, node_module.measure_load(node), node.now())
         else:
-            completion = await _forward(origin, call, caller, name, view)
+            completion = await _forward(origin, call, caller, name, view, claim_repeat)
     finally:
         view.outstanding -= 1
     if (
@@ -350,6 +409,7 @@
     caller: exchange.Caller,
     name: identity.NodeId,
     view: selection.TargetView,
+    claim_repeat: collections.abc.Callable[[], bool] = pool.permit_repeat,
 ) -> delivery.Completion:
     """Forward a request to another node, and pass that node's reply to the caller."""
     node = origin.node
@@ -376,6 +436,7 @@
         + hop_headers.build_version_header(node),
         filter_reply=filter_hop_reply,
         p99_s=attempt.TYPICAL_P99_S,
+        claim_repeat=claim_repeat,
     )
     attempt_result = attempt.AttemptResult()
     await attempt.run(context, call, caller, node.now, attempt_result)
--- a/tests/request/test_cut_answers.py
+++ b/tests/request/test_cut_answers.py
@@ -63,9 +63,28 @@
         await trio.sleep(0.5)
 
 
-def build_mesh(nursery: trio.Nursery, scripts: list[Script]) -> origin.Origin:
-    """Return a node whose peers answer requests by the scripts in turn, and ignore pings."""
-    entry = test_origin.build_origin(9.0)
+async def answer_late(stream: trio.abc.Stream) -> None:
+    await trio.sleep(2.5)
+    await stream.send_all(build_answer(SMALL))
+
+
+async def freeze(_: trio.abc.Stream) -> None:
+    await trio.sleep_forever()
+
+
+async def refuse_as_full(stream: trio.abc.Stream) -> None:
+    head = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+    await stream.send_all(head + b"Ebonyvalve-Refused: not-run:queue-full\r\n\r\n")
+
+
+def build_mesh(
+    nursery: trio.Nursery, scripts: list[Script], *, level: float = 9.0
+) -> origin.Origin:
+    """Return a node whose peers answer requests by the scripts in turn, and ignore pings.
+
+    ``level`` is how many extra attempts its retry budget holds.
+    """
+    entry = test_origin.build_origin(level)
     remaining = list(scripts)
 
     async def serve(stream: trio.abc.Stream) -> None:
@@ -91,7 +110,12 @@
 
 
 async def ask(
-    monkeypatch: pytest.MonkeyPatch, scripts: list[Script], *, is_repeatable: bool
+    monkeypatch: pytest.MonkeyPatch,
+    scripts: list[Script],
+    *,
+    is_repeatable: bool,
+    level: float = 9.0,
+    max_attempts: int = 2,
 ) -> tuple[int, int]:
     """Return the status that a caller gets and the size of the body; 0 if there is no reply."""
     monkeypatch.setattr(origin, "resolve", lambda *_: None)
@@ -101,6 +125,8 @@
         call = test_origin.build_call(is_repeatable=is_repeatable)
         call.headers = [(b"host", b"x")]
         call.deadline_at_s = trio.current_time() + 5.0
+        assert call.rules is not None
+        call.rules = dataclasses.replace(call.rules, max_attempts=max_attempts)
         return call
 
     async def handle(call: exchange.Call, caller: exchange.Caller) -> outcome.Outcome:
@@ -112,7 +138,7 @@
     http.send(h11.EndOfMessage())
     status, size = 0, 0
     async with trio.open_nursery() as nursery:
-        entry = build_mesh(nursery, scripts)
+        entry = build_mesh(nursery, scripts, level=level)
         listener = front.Front(
             now=trio.current_time,
             handle=handle,
@@ -166,6 +192,40 @@
     assert status == 502
 
 
+@pytest.mark.parametrize(
+    ("scripts", "level", "max_attempts"),
+    [
+        pytest.param([answer_late], 0.0, 2, id="retry-budget-spent"),
+        pytest.param([answer_late], 9.0, 1, id="last-attempt-of-the-route"),
+        pytest.param([refuse_as_full] * 3 + [answer_late], 9.0, 2, id="no-other-node-left"),
+    ],
+)
+async def test_request_that_cannot_be_sent_again_survives_missed_pings(
+    monkeypatch: pytest.MonkeyPatch,
+    autojump_clock: trio.testing.MockClock,
+    scripts: list[Script],
+    level: float,
+    max_attempts: int,
+) -> None:
+    """Guards against aborting a request at a busy node when no other attempt can follow.
+
+    Issue 21: repeatable requests ended with 502 while their answers were on the way.
+    """
+    received = await ask(
+        monkeypatch, scripts, is_repeatable=True, level=level, max_attempts=max_attempts
+    )
+    assert received == (200, SMALL)
+
+
+async def test_request_that_can_be_sent_again_does_not_wait_for_an_unreachable_node(
+    monkeypatch: pytest.MonkeyPatch, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against requests that wait for a frozen node although another one can answer."""
+    received = await ask(monkeypatch, [freeze, answer], is_repeatable=True)
+    assert received == (200, SMALL)
+    assert trio.current_time() < 2.0
+
+
 @pytest.mark.parametrize(("script", "size"), [(answer_in_two_parts, LARGE), (answer_slowly, SMALL)])
 async def test_begun_reply_survives_missed_pings(
     monkeypatch: pytest.MonkeyPatch,
--- a/tests/request/test_origin.py
+++ b/tests/request/test_origin.py
@@ -258,3 +258,12 @@
     budget.set_share(allowance, 0.5)
     after = budget.find_budget(allowance, identity.ServiceId("lookup"))
     assert before == after == budget.Budget(share=0.5, burst=2.0, level=2.0)
+
+
+async def test_aborted_requests_share_the_retry_budget() -> None:
+    """Guards against aborting more requests at a node that seems lost than can be sent again."""
+    entry = build_origin(1.0)
+    call = build_call(is_repeatable=True)
+    first, second = (origin.Attempts(tried=[NAMES[0]]) for _ in range(2))
+    claims = [origin._claim_repeat(entry, call, attempts) for attempts in (first, second, first)]
+    assert claims == [True, False, True]
