Bound the bodies that the readiness listener reads

What callers saw: bodies sent without end to the port of the readiness probe, which also serves the pages for operators, were kept in memory up to 16 MiB each, on any number of connections and for up to 60 s.

Cause: the readiness listener used the default limit of http.serve, which is meant for clients of the store. No request to it needs a body.

Why this fixes it: the listener reads at most 1 KiB of body (about 66 KB with the head and the framing) and closes the connection.

--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -50,6 +50,8 @@
 SWEEP_INTERVAL_S = 0.25
 DRAIN_POLL_INTERVAL_S = 0.02
 MAX_CONNECTIONS = 2000
+# Probes and requests of operators need no body.
+MAX_PROBE_BYTES = 1024
 # Limits of a message from another node, which itself gives up sooner.
 MAX_PUSH_BYTES = 1_048_576
 PUSH_TIMEOUT_S = 2.0
@@ -344,7 +346,7 @@
         is_ready = node_module.is_ready(daemon.node)
         return http.Reply(status=200 if is_ready else 503, body=b"{}")
 
-    return functools.partial(http.serve, respond)
+    return functools.partial(http.serve, respond, max_bytes=MAX_PROBE_BYTES)
 
 
 def find_metrics_address(place: place_module.Place, port: str) -> identity.Address | None:
