Bound the bodies of pushes by the size of a row

Cause: the limit of one push was chosen for a single sender.

Why this fixes it: the longest push is a ledger, the value of a row, and rows of the store have at most 64 KiB. With that limit, pushes on all connections fit into the smallest memory of a process.

--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -52,8 +52,9 @@
 MAX_CONNECTIONS = 2000
 # Probes and requests of operators need no body.
 MAX_PROBE_BYTES = 1024
-# Limits of a message from another node, which itself gives up sooner.
-MAX_PUSH_BYTES = 1_048_576
+# Limits of a message from another node, which itself gives up sooner. The longest one is a ledger,
+# which is a row of the store, and the store limits rows to 64 KiB.
+MAX_PUSH_BYTES = 65_536
 PUSH_TIMEOUT_S = 2.0
 
 
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -15,6 +15,10 @@
 from tests.platform import mesh as mesh_module
 from tests.request import test_origin
 
+# The smallest limit of a process on the platform, and what a daemon may need at rest.
+LEAST_MEMORY_BYTES = 200_000_000
+PROCESS_BYTES = 64_000_000
+
 
 async def fetch_ready(mesh: mesh_module.Mesh, path: str) -> http.Reply:
     """Fetch a page from the first node's ready address."""
@@ -228,3 +232,9 @@
     assert trio.current_time() - started_at <= daemon.PUSH_TIMEOUT_S
     assert received <= daemon.MAX_PUSH_BYTES + len(unit)
     assert statuses in ([], [400])
+
+
+def test_pushes_on_all_connections_fit_into_the_memory() -> None:
+    """Guards against a limit for one push that lets many of them exceed the memory."""
+    held_bytes = daemon.MAX_CONNECTIONS * daemon.MAX_PUSH_BYTES
+    assert held_bytes <= LEAST_MEMORY_BYTES - PROCESS_BYTES
--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -52,6 +52,7 @@
     ("callers", build_head("GET", "/orders/x", b"x: "), PIECE, True),
     ("callers", build_head("POST", "/orders/x", CHUNKED), CHUNK, True),
     ("callers", build_head("POST", "/orders/x", CHUNKED + b"0\r\n"), b"x: a\r\n" * 8192, True),
+    ("peers", build_head("POST", "/ebonyvalve/ledger/orders/5", CHUNKED), CHUNK, True),
     ("ready", build_head("POST", "/readyz", CHUNKED), CHUNK, True),
     ("ready", build_head("POST", "/readyz", b"content-length: 99999999\r\n\r\n"), PIECE, True),
     ("reports", build_head("PUT", "/instances/i-0", CHUNKED), CHUNK, True),
