--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -57,8 +57,11 @@
 # Other nodes send nothing for ``selection.ENDING_PAUSE_S`` after each announcement.
 ANNOUNCE_END_INTERVAL_S = 0.7
 MAX_CONNECTIONS = 2000
-# Limits of a message from another node, which itself gives up sooner.
-MAX_PUSH_BYTES = 1_048_576
+# Probes and requests of operators need no body.
+MAX_PROBE_BYTES = 1024
+# Limits of a message from another node, which itself gives up sooner. The longest one is a ledger,
+# which is a row of the store, and the store limits rows to 64 KiB.
+MAX_PUSH_BYTES = 65_536
 PUSH_TIMEOUT_S = 2.0
 
 
@@ -372,7 +375,7 @@
         is_ready = node_module.is_ready(daemon.node)
         return http.Reply(status=200 if is_ready else 503, body=b"{}")
 
-    return functools.partial(http.serve, respond)
+    return functools.partial(http.serve, respond, max_bytes=MAX_PROBE_BYTES)
 
 
 def find_metrics_address(place: place_module.Place, port: str) -> identity.Address | None:
