Finish or refuse what a stopping node of the product has taken

Callers of a node that was stopped as planned had their connections closed without a reply: requests that were passed on to other nodes, that waited or that were still being read, and those that arrived while the node stopped.

Cause: stop() waited only for requests at the node's own target. After the shards have moved away there are none, and the process ended at once. Listeners went on accepting while every connection was closed unread (front.stop), and callers with kept connections were never told to leave.

Now replies announce the close of their connection once the shards have moved, for 1 s, in which the node's callers and the other nodes, which learn of the move with their next renewal, turn to others. Then the listeners close, the requests on connections that were just accepted are read (0.25 s), idle connections are closed, and the process waits for all connections that have a request. The grace of 60 s stands.

Not covered: a head of which only a part has arrived when the idle connections are closed is still cut (request/front.py cannot tell it from an idle connection), and what the kernel has accepted but the process has not when the listener closes.

--- a/src/ebonyvalve/process/daemon.py
+++ b/src/ebonyvalve/process/daemon.py
@@ -59,6 +59,12 @@
 # A graceful stop waits this long for requests in flight. Requests that run longer have passed their
 # deadline.
 STOP_GRACE_S = 60.0
+# Other nodes learn from their next renewal that this node has left, and callers that keep a
+# connection open from their next reply.
+STOP_ANNOUNCE_S = 1.0
+# A caller sends its request at once when its connection is accepted.
+LAST_REQUESTS_S = 0.25
+STOP_POLL_INTERVAL_S = 0.02
 STORE_CHECK_TIMEOUT_S = 0.5
 STORE_TIMEOUT_S = 2.0
 
@@ -93,6 +99,9 @@
     ``snapshot``, ``shards`` and ``place`` are derived from the configuration in force; ``snapshot``
     and ``place`` are ``None`` before the first one. ``place`` plans which shards are split, merged
     and moved. ``placing`` keeps the state of placement when the configuration changes.
+    ``listeners`` holds the scopes of the listeners for callers and for other nodes, and
+    ``connections`` those of the connections that they accepted. ``is_closing`` says that every
+    reply announces the close of its connection.
     """
 
     cfg: settings.Settings
@@ -109,6 +118,9 @@
     shards: frozenset[identity.ShardId] = frozenset()
     place: assignment.PlaceShards | None = None
     placing: placement.State = dataclasses.field(default_factory=placement.State)
+    listeners: set[trio.CancelScope] = dataclasses.field(default_factory=set)
+    connections: set[trio.CancelScope] = dataclasses.field(default_factory=set)
+    is_closing: bool = False
 
 
 def assemble(cfg: settings.Settings, environment: Environment) -> Node:
@@ -165,8 +177,12 @@
             drop_idle=functools.partial(pool.close_idle, target_pool),
         ),
         handler=request_handler,
-        caller_front=_build_front(cfg, request_handler, environment.clock, is_hop=False),
-        hop_front=_build_front(cfg, request_handler, environment.clock, is_hop=True),
+        caller_front=_build_front(
+            cfg, request_handler, environment.clock, lambda: node.is_closing, is_hop=False
+        ),
+        hop_front=_build_front(
+            cfg, request_handler, environment.clock, lambda: node.is_closing, is_hop=True
+        ),
         metrics=node_metrics,
     )
     node.owned = ownership.open_state(cfg.cell, _build_ports(node))
@@ -202,7 +218,12 @@
 
 
 def _build_front(
-    cfg: settings.Settings, request_handler: handler.Handler, clock: timer.Clock, *, is_hop: bool
+    cfg: settings.Settings,
+    request_handler: handler.Handler,
+    clock: timer.Clock,
+    is_closing: collections.abc.Callable[[], bool],
+    *,
+    is_hop: bool,
 ) -> front.Front:
     def find_limits(name: identity.ServiceId) -> tuple[float, int]:
         snapshot = request_handler.snapshot()
@@ -212,7 +233,12 @@
         return service.deadline_ms / 1000, service.max_body_bytes
 
     async def handle(call: exchange.Call, caller: exchange.Caller) -> outcome.Outcome:
-        return await handler.handle(request_handler, call, caller)
+        async def reply(status: int, headers: exchange.Headers) -> bool:
+            extra = [(b"connection", b"close")] if is_closing() else []
+            return await caller.reply(status, headers + extra)
+
+        closing_caller = dataclasses.replace(caller, reply=reply)
+        return await handler.handle(request_handler, call, closing_caller)
 
     return front.Front(
         now=clock,
@@ -388,28 +414,60 @@
             cfg.operator_address,
             functools.partial(http.serve, respond_to_operators),
         )
-        serve_hops = functools.partial(front.serve, node.hop_front)
-        nursery.start_soon(environment.listen_private, cfg.hop_address, serve_hops)
-        serve_callers = functools.partial(front.serve, node.caller_front)
-        nursery.start_soon(environment.listen, cfg.caller_address, serve_callers)
+        nursery.start_soon(
+            _listen, node, environment.listen_private, cfg.hop_address, node.hop_front
+        )
+        nursery.start_soon(_listen, node, environment.listen, cfg.caller_address, node.caller_front)
         nursery.start_soon(ownership.run, owned)
 
 
+async def _listen(
+    node: Node, listen: network.Listen, address: identity.Address, served: front.Front
+) -> None:
+    """Accept connections until cancelled, or until the node stops, which keeps those accepted."""
+
+    async def serve(stream: trio.abc.Stream) -> None:
+        with trio.CancelScope(shield=node.is_closing) as scope:
+            node.connections.add(scope)
+            try:
+                await front.serve(served, stream)
+            finally:
+                node.connections.discard(scope)
+
+    with trio.CancelScope() as scope:
+        node.listeners.add(scope)
+        await listen(address, serve)
+
+
 async def stop(node: Node) -> None:
-    """Hand over the node's shards, then wait for the requests at the local target.
+    """Hand over the node's shards, then finish the requests of callers and of other nodes.
 
-    The wait ends after :data:`STOP_GRACE_S` seconds.
+    Requests are taken until callers and nodes have been told to use other nodes, and each one that
+    was taken is answered or refused. The wait ends after :data:`STOP_GRACE_S` seconds.
 
     :param node: a running node.
     """
+    fronts = (node.caller_front, node.hop_front)
     node.here.is_stopping = True
     if node.owned is not None:
         await ownership.leave(node.owned)
-    front.stop(node.caller_front)
-    front.stop(node.hop_front)
-    with trio.move_on_after(STOP_GRACE_S):
-        while node.here.flights:
-            await node.here.flights_ended.wait()
+    node.is_closing = True
+    await timer.wait_until(node.timer, timer.now(node.timer) + STOP_ANNOUNCE_S)
+    try:
+        for connection in node.connections:
+            connection.shield = True
+        for listener in node.listeners:
+            listener.cancel()
+        await timer.wait_until(node.timer, timer.now(node.timer) + LAST_REQUESTS_S)
+        for served in fronts:
+            front.stop(served)
+        with trio.move_on_after(STOP_GRACE_S):
+            polls = timer.subscribe(node.timer, period_s=STOP_POLL_INTERVAL_S)
+            while any(served.connections for served in fronts):
+                await timer.tick(node.timer, polls)
+    finally:
+        for connection in node.connections:
+            connection.shield = False
 
 
 async def _refresh_periodically(node: Node, owned: ownership.State) -> None:
