Let two tests of the control channel wait for events, not for fixed times

Both took it that the stream is open, and its request under way, 0.1 or 0.2 s after the request was begun; that isn't a promise of the channel, which may take connect_s for it.

They wait for the request to reach its handler now, and for the close of a connection. They demand the same: with _resolve_all removed, with the retired stream kept open, and with it closed at once, they fail as before.

--- a/tests/connection/test_channel_faults.py
+++ b/tests/connection/test_channel_faults.py
@@ -37,6 +37,18 @@
     return request
 
 
+def hold_leaves(arrived: trio.Event, is_answerable: trio.Event) -> peer.Handle:
+    """Return a handler that sets one event when a ``Leave`` comes, and answers it after another."""
+
+    async def handle(request: message.Message) -> message.Message:
+        if isinstance(request, message.Leave):
+            arrived.set()
+            await is_answerable.wait()
+        return request
+
+    return handle
+
+
 def fetch(version: int) -> message.FetchConfig:
     return message.FetchConfig(version=identity.ConfigVersion(version))
 
@@ -67,7 +79,8 @@
 class Relay:
     """A TCP relay whose existing connections can be made silent while new ones work.
 
-    Connections with a number below ``silent_below`` forward nothing.
+    Connections with a number below ``silent_below`` forward nothing. ``closed`` is set when a
+    connection has ended.
     """
 
     target: identity.Address
@@ -76,6 +89,7 @@
     silent_below: int = 0
     pause_s: float = 0.0
     closers: list[trio.CancelScope] = dataclasses.field(default_factory=list)
+    closed: trio.Event = dataclasses.field(default_factory=trio.Event)
 
 
 @contextlib.asynccontextmanager
@@ -103,6 +117,7 @@
             except* trio.BrokenResourceError:
                 pass
         relay.open -= 1
+        relay.closed.set()
 
     async with trio.open_nursery() as nursery:
         listeners = await nursery.start(
@@ -171,20 +186,22 @@
 async def test_lost_stream_ends_its_requests() -> None:
     """Guards against requests that wait for their timeout after the connection was closed."""
     replies: list[peer.AskResult] = []
-    async with channel.open_channel(limits=SLOW_CONNECT) as both, serving(both) as target:
+    arrived, is_answerable = trio.Event(), trio.Event()
+    handle = hold_leaves(arrived, is_answerable)
+    async with channel.open_channel(limits=SLOW_CONNECT) as both, serving(both, handle) as target:
         relay = Relay(target=target)
         async with relaying(relay) as address:
 
             async def ask() -> None:
                 replies.append(await both.ask(address, leave(30.0), 30.0))
 
-            with trio.fail_after(1.0):
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(ask)
-                    await trio.sleep(0.1)
-                    relay.closers[0].cancel()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                await arrived.wait()
+                relay.closers[0].cancel()
+                nursery.cancel_scope.deadline = trio.current_time() + 1.0
+            assert replies == [failed(peer.PeerFailure.CLOSED)]
             assert await both.ask(address, fetch(1), 1.0) == result.Success(fetch(1))
-    assert replies == [failed(peer.PeerFailure.CLOSED)]
 
 
 async def test_silent_stream_is_replaced() -> None:
@@ -209,21 +226,27 @@
     The retired stream must be closed after its last reply.
     """
     replies: list[peer.AskResult] = []
-    async with channel.open_channel(limits=SLOW_CONNECT) as both, serving(both) as target:
+    arrived, is_answerable = trio.Event(), trio.Event()
+    handle = hold_leaves(arrived, is_answerable)
+    async with channel.open_channel(limits=SLOW_CONNECT) as both, serving(both, handle) as target:
         relay = Relay(target=target)
         async with relaying(relay) as address:
 
             async def ask() -> None:
-                replies.append(await both.ask(address, leave(0.4), 5.0))
+                replies.append(await both.ask(address, leave(30.0), 30.0))
 
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(ask)
-                await trio.sleep(0.2)
+                await arrived.wait()
+                await trio.sleep(2 * SLOW_CONNECT.silent_s)
                 assert await both.ask(address, fetch(1), 1.0) == result.Success(fetch(1))
                 assert relay.open == 2
-            await trio.sleep(0.2)
+                assert not replies
+                is_answerable.set()
+            with trio.fail_after(1.0):
+                await relay.closed.wait()
             assert relay.open == 1
-    assert replies == [result.Success(leave(0.4))]
+    assert replies == [result.Success(leave(30.0))]
 
 
 async def test_peer_that_accepts_and_says_nothing() -> None:
