Check the rule of renewals in exact arithmetic, and its rounding apart

It compared two sums of floats that round differently, without a margin, although a hold leaves lease.MARGIN_S for this.

The test draws whole nanoseconds as fractions now, with the drift and the lease as fractions too, and keeps its comparisons without any tolerance.

--- a/tests/process/keyspace/test_lease.py
+++ b/tests/process/keyspace/test_lease.py
@@ -1,10 +1,17 @@
 """A node stops granting keys before another may take them over, whatever their clocks show."""
 
+import fractions
+
 import hypothesis
 from hypothesis import strategies as st
+import pytest
 
 from ebonyvalve.process.keyspace import lease
 
+NS_PER_S = 1_000_000_000
+
+Number = float | fractions.Fraction
+
 
 @hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
 @hypothesis.given(
@@ -58,18 +65,17 @@
     assert lease.find_hold(row, None, 1.0, 10.0) == 0.0
 
 
-@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
-@hypothesis.given(
-    readings=st.lists(
-        st.tuples(st.floats(0, 8), st.floats(0, 1), st.floats(0.01, 5)), min_size=1, max_size=8
+def build_seconds(first: int, last: int) -> st.SearchStrategy[fractions.Fraction]:
+    """Return a strategy of exact seconds, in nanoseconds; sums of floats would be rounded."""
+    return st.builds(
+        fractions.Fraction, st.integers(first * NS_PER_S, last * NS_PER_S), st.just(NS_PER_S)
     )
-)
-def test_renewals_never_end_earlier(readings: list[tuple[float, float, float]]) -> None:
-    """Slow answers make the readings of the store's clock differ; a renewal may be done unheard.
 
-    If it ended before the lease that the node knows, another would take keys that are granted.
-    """
-    now, clock, row = 0.0, None, None
+
+def check_renewals(readings: list[tuple[Number, Number, Number]], rounding_s: float) -> None:
+    """Renew a lease after each reading of the store's clock, and check its end."""
+    now: Number = 0
+    clock, row = None, None
     for answer_s, share, pause_s in readings:
         # The store's clock shows the node's time plus 1000, anywhere within the answer.
         read = lease.StoreClock(
@@ -77,14 +83,61 @@
         )
         now += answer_s
         clock = lease.choose_clock(clock, read, now)
-        assert lease.read_earliest(clock, now) <= 1000 + now <= lease.read_latest(clock, now)
+        assert lease.read_earliest(clock, now) <= 1000 + now + rounding_s
+        assert 1000 + now <= lease.read_latest(clock, now) + rounding_s
         until_s = lease.renew(row, clock, now)
         assert row is None or until_s >= row.until_s
-        assert until_s >= 1000 + now + lease.LEASE_S
+        assert until_s + rounding_s >= 1000 + now + lease.LEASE_S
         row = lease.LeaseRow(until_s=until_s, incarnation="a")
         now += pause_s
 
 
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+@hypothesis.given(
+    readings=st.lists(
+        st.tuples(
+            build_seconds(0, 8),
+            build_seconds(0, 1),
+            build_seconds(0, 5).map(lambda pause_s: pause_s + fractions.Fraction(1, 100)),
+        ),
+        min_size=1,
+        max_size=8,
+    )
+)
+def test_renewals_never_end_earlier(
+    readings: list[tuple[fractions.Fraction, fractions.Fraction, fractions.Fraction]],
+) -> None:
+    """Slow answers make the readings of the store's clock differ; a renewal may be done unheard.
+
+    If it ended before the lease that the node knows, another would take keys that are granted.
+    """
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(lease, "NODE_DRIFT", fractions.Fraction(1, 1000))
+        patch.setattr(lease, "LEASE_S", fractions.Fraction(12))
+        check_renewals(readings, 0)
+
+
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+@hypothesis.given(
+    readings=st.lists(
+        st.tuples(st.floats(0, 8), st.floats(0, 1), st.floats(0.01, 5)), min_size=1, max_size=8
+    )
+)
+@hypothesis.example(
+    readings=[
+        (0.0, 0.0, 1.5572653519948152),
+        (0.950151199535828, 0.0, 1.828624853587729),
+        (5.329724045135268e-15, 0.0, 1.7614485172302659),
+        (5.329724045135268e-15, 0.0, 1.0),
+    ]
+)
+def test_rounding_of_renewals_is_far_below_the_margin(
+    readings: list[tuple[float, float, float]],
+) -> None:
+    """The margin of a hold has to cover the rounding of floats, besides the time of an answer."""
+    check_renewals(readings, lease.MARGIN_S / 1_000_000)
+
+
 def test_slow_answer_does_not_blur_the_clock() -> None:
     """An answer that took 6 s made every node wait 6 s longer for the end of a lease."""
     sharp = lease.StoreClock(asked_at=0.0, answered_at=0.004, read_s=100.0)
