Take only a refused connection for a crash of the target

Callers of the product's own interface got 403 "quarantined" for 60 s, at all nodes, for requests that had crashed nothing, and 503 until the target's next probes.

Cause: after a connection had broken, a new one that was not accepted within 0.25 s counted as a crash like a refused one, so that the target was marked down and every request in flight there quarantined. A time-out shows that the target or its link is busy. Only a refusal proves a crash on the same VM now, as on the platform's path (crash.record_refused_connection); a target that doesn't answer is found by its probes.

--- a/src/ebonyvalve/request/local.py
+++ b/src/ebonyvalve/request/local.py
@@ -5,6 +5,7 @@
 import functools
 import logging
 
+from returns import result
 import trio
 
 from ebonyvalve.connection import pool, wire
@@ -487,11 +488,13 @@
     """Check whether the target crashed while running a request whose connection broke."""
     site.record_lost_request(here, fingerprint, here.now())
     opened = await pool.open_new(job.connections, address)
-    if opened.value_or(None) is not None:
+    if isinstance(opened, result.Success):
         await pool.discard(job.connections, address, opened.unwrap())
         return
-    # On the same VM a refused connection proves a crash; whatever the reason, nothing can be sent
-    # there now.
+    # On the same VM a refused connection proves a crash. One that is not accepted in time does not:
+    # the target may be busy.
+    if opened.failure() is not pool.PoolFailure.REFUSED:
+        return
     count = site.record_crash(here, here.now())
     decision.record(
         log,
--- a/tests/request/test_local.py
+++ b/tests/request/test_local.py
@@ -275,3 +275,38 @@
         nursery.cancel_scope.cancel()
     assert released_at <= grant_end_s + 2 * handover.RECHECK_INTERVAL_S
     assert [headers["ebonyvalve-outcome"] for _, headers, _ in answers] == [outcome]
+
+
+async def test_slow_connect_is_not_taken_for_a_crash(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against quarantined requests because a busy target accepts a connection late.
+
+    A target may close a connection at any time, which shows no crash either.
+    """
+    async with trio.open_nursery() as nursery:
+        world = test_handler.build_world(nursery)
+        targets = world.handlers[test_handler.HERE].target_pool
+        connect = targets.connect
+        opened = 0
+
+        async def connect_late(address: str) -> trio.abc.Stream:
+            nonlocal opened
+            opened += 1
+            if opened == 2:
+                await trio.sleep_forever()
+            return await connect(address)
+
+        async def break_first(stream: trio.abc.Stream) -> None:
+            if opened > 1:
+                await toy.serve(world.target, stream)
+                return
+            await stream.receive_some()
+            await stream.aclose()
+
+        targets.connect = connect_late
+        world.serve_target = break_first
+        await look_up(world)
+        await look_up(world)
+        assert target.is_up(world.sites[test_handler.HERE].target)
+        nursery.cancel_scope.cancel()
