Don't blame a target for callers that stop sending their bodies

Callers of the product's own interface were refused (503), and keys moved, because a target was taken as down that had missed nothing.

Cause: a request that ended at its deadline while the next part of its body was awaited from the caller counted as a missed deadline of the target; five in a row mark it as down. At the node where the request entered, the time counted as a latency of the target's node as well, up to taking it for a straggler. An attempt records now that it waits for the caller, and such an end is no evidence about the other end.

Evidence, before, five uploads that stop after 8 KiB, at the own target and through a hop: test_slow_upload_is_not_blamed_on_the_target[vm-1], [vm-2] AssertionError: assert False, where False = target.is_up(...), with the line target-down

Ruled out: callers that leave before the deadline; they counted as no evidence already.

--- a/src/ebonyvalve/request/dispatch.py
+++ b/src/ebonyvalve/request/dispatch.py
@@ -58,10 +58,10 @@
 
     ``is_sent`` says whether bytes of the request may have reached the other end. ``is_body_open``
     says whether the caller's body was read beyond the buffered prefix, so that it cannot be sent
-    again. ``head_at_s`` is when the reply's head came, in seconds on the node's clock.
-    ``is_reply_begun`` says whether the caller was sent a part of the reply. ``reply_correlation``
-    says which request the reply names, and ``is_first`` whether it is the first reply on its
-    connection.
+    again, and ``awaits_caller`` whether its next part is awaited. ``head_at_s`` is when the reply's
+    head came, in seconds on the node's clock. ``is_reply_begun`` says whether the caller was sent a
+    part of the reply. ``reply_correlation`` says which request the reply names, and ``is_first``
+    whether it is the first reply on its connection.
     """
 
     step: Step = Step.LOST_BEFORE_REPLY
@@ -69,6 +69,7 @@
     headers: exchange.Headers = dataclasses.field(default_factory=list)
     is_sent: bool = False
     is_body_open: bool = False
+    awaits_caller: bool = False
     is_reply_begun: bool = False
     # Bytes of the reply's body that were handed to the caller's end.
     body_bytes: int = 0
@@ -193,7 +194,9 @@
         attempt.is_body_open = True
         # A slow caller must not make the connection look silent.
         liveness.record_held_by_caller(connection.state)
+        attempt.awaits_caller = True
         chunk = await caller.receive()
+        attempt.awaits_caller = False
         liveness.record_awaiting(connection.state, now())
         if isinstance(chunk, result.Failure):
             # No end of the body is sent, so that the target cannot take it for complete.
--- a/src/ebonyvalve/request/hop.py
+++ b/src/ebonyvalve/request/hop.py
@@ -114,8 +114,11 @@
     attempt_result: attempts.AttemptResult,
     started_s: float,
 ) -> None:
-    """Record the latency; a cancelled attempt counts with the time until its cancellation."""
-    if not attempt_result.attempt.is_sent:
+    """Record the latency; a cancelled attempt counts with the time until its cancellation.
+
+    An attempt that waited for the caller's body says nothing about the node.
+    """
+    if not attempt_result.attempt.is_sent or attempt_result.attempt.awaits_caller:
         return
     head_s = attempt_result.attempt.head_at_s
     latency_s = (here.now() if head_s is None else head_s) - started_s
--- a/src/ebonyvalve/request/local.py
+++ b/src/ebonyvalve/request/local.py
@@ -448,11 +448,12 @@
         return limit.Reply.FAILED
     if attempt.head_at_s is not None:
         return limit.Reply.OK
-    if attempt_result.is_timed_out and attempt.is_sent:
+    if attempt_result.is_timed_out and attempt.is_sent and not attempt.awaits_caller:
         return limit.Reply.TIMED_OUT
     if (
         not attempt_result.is_ended
         or not attempt.is_sent
+        or attempt.awaits_caller
         or attempt.step
         in (
             dispatch.Step.CALLER_GONE,
--- a/tests/request/test_local.py
+++ b/tests/request/test_local.py
@@ -9,7 +9,7 @@
 import trio
 import trio.testing
 
-from ebonyvalve.connection import pool
+from ebonyvalve.connection import pool, wire
 from ebonyvalve.process import (
     daemon,
     handover,
@@ -23,6 +23,7 @@
     timer,
     toy,
 )
+from ebonyvalve.request import front
 from tests.request import test_handler
 
 PATH = "/calendrier/salle-1/book"
@@ -310,3 +311,26 @@
         await look_up(world)
         assert target.is_up(world.sites[test_handler.HERE].target)
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("owner", [test_handler.HERE, test_handler.THERE])
+async def test_slow_upload_is_not_blamed_on_the_target(
+    owner: identity.NodeId, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against a target that is taken as down because callers don't send their bodies."""
+    async with trio.open_nursery() as nursery:
+        world = test_handler.build_world(nursery, owner)
+        await look_up(world)
+        for _ in range(target.MISSES_TO_DOWN):
+            connection = await test_handler.connect(world, f"caller-{test_handler.HERE}")
+            conn = wire.open_client(connection)
+            headers = [("host", "x"), ("transfer-encoding", "chunked")]
+            path = "/calendrier/salle-1/slots"
+            await wire.send(conn, h11.Request(method="GET", target=path, headers=headers))
+            await wire.send(conn, h11.Data(data=bytes(2 * front.PREFIX_BYTES)))
+            status, _, _ = await test_handler.read_answer(conn)
+            assert status == 504
+        latencies = world.sites[test_handler.HERE].latencies[test_handler.SERVICE]
+        nursery.cancel_scope.cancel()
+    assert target.is_up(world.sites[owner].target)
+    assert latencies.targets[owner].mean_s < 0.1
