--- a/src/ebonyvalve/process/daemon.py
+++ b/src/ebonyvalve/process/daemon.py
@@ -59,6 +59,12 @@
 # A graceful stop waits this long for requests in flight. Requests that run longer have passed their
 # deadline.
 STOP_GRACE_S = 60.0
+# Other nodes learn from their next renewal that this node has left, and callers that keep a
+# connection open from their next reply.
+STOP_ANNOUNCE_S = 1.0
+# A caller sends its request at once when its connection is accepted.
+LAST_REQUESTS_S = 0.25
+STOP_POLL_INTERVAL_S = 0.02
 STORE_CHECK_TIMEOUT_S = 0.5
 STORE_TIMEOUT_S = 2.0
 
@@ -93,6 +99,8 @@
     ``snapshot``, ``shards`` and ``place`` are derived from the configuration in force; ``snapshot``
     and ``place`` are ``None`` before the first one. ``place`` plans which shards are split, merged
     and moved. ``placing`` keeps the state of placement when the configuration changes.
+    ``listeners`` holds the scopes of the listeners for callers and for other nodes, and
+    ``connections`` those of the connections that they accepted.
     """
 
     cfg: settings.Settings
@@ -109,6 +117,8 @@
     shards: frozenset[identity.ShardId] = frozenset()
     place: assignment.PlaceShards | None = None
     placing: placement.State = dataclasses.field(default_factory=placement.State)
+    listeners: set[trio.CancelScope] = dataclasses.field(default_factory=set)
+    connections: set[trio.CancelScope] = dataclasses.field(default_factory=set)
 
 
 def assemble(cfg: settings.Settings, environment: Environment) -> Node:
@@ -388,28 +398,59 @@
             cfg.operator_address,
             functools.partial(http.serve, respond_to_operators),
         )
-        serve_hops = functools.partial(front.serve, node.hop_front)
-        nursery.start_soon(environment.listen_private, cfg.hop_address, serve_hops)
-        serve_callers = functools.partial(front.serve, node.caller_front)
-        nursery.start_soon(environment.listen, cfg.caller_address, serve_callers)
+        nursery.start_soon(
+            _listen, node, environment.listen_private, cfg.hop_address, node.hop_front
+        )
+        nursery.start_soon(_listen, node, environment.listen, cfg.caller_address, node.caller_front)
         nursery.start_soon(ownership.run, owned)
 
 
+async def _listen(
+    node: Node, listen: network.Listen, address: identity.Address, served: front.Front
+) -> None:
+    """Accept connections until cancelled, or until the node stops, which keeps those accepted."""
+
+    async def serve(stream: trio.abc.Stream) -> None:
+        with trio.CancelScope(shield=served.is_stopping) as scope:
+            node.connections.add(scope)
+            try:
+                await front.serve(served, stream)
+            finally:
+                node.connections.discard(scope)
+
+    with trio.CancelScope() as scope:
+        node.listeners.add(scope)
+        await listen(address, serve)
+
+
 async def stop(node: Node) -> None:
-    """Hand over the node's shards, then wait for the requests at the local target.
+    """Hand over the node's shards, then finish the requests of callers and of other nodes.
 
-    The wait ends after :data:`STOP_GRACE_S` seconds.
+    Requests are taken until callers and nodes have been told to use other nodes, and each one that
+    was taken is answered or refused. The wait ends after :data:`STOP_GRACE_S` seconds.
 
     :param node: a running node.
     """
+    fronts = (node.caller_front, node.hop_front)
     node.here.is_stopping = True
     if node.owned is not None:
         await ownership.leave(node.owned)
-    front.stop(node.caller_front)
-    front.stop(node.hop_front)
-    with trio.move_on_after(STOP_GRACE_S):
-        while node.here.flights:
-            await node.here.flights_ended.wait()
+    for served in fronts:
+        front.drain(served)
+    await timer.wait_until(node.timer, timer.now(node.timer) + STOP_ANNOUNCE_S)
+    try:
+        for connection in node.connections:
+            connection.shield = True
+        for listener in node.listeners:
+            listener.cancel()
+        await timer.wait_until(node.timer, timer.now(node.timer) + LAST_REQUESTS_S)
+        with trio.move_on_after(STOP_GRACE_S):
+            polls = timer.subscribe(node.timer, period_s=STOP_POLL_INTERVAL_S)
+            while not all(front.is_quiet(served, 0.0) for served in fronts):
+                await timer.tick(node.timer, polls)
+    finally:
+        for connection in node.connections:
+            connection.shield = False
 
 
 async def _refresh_periodically(node: Node, owned: ownership.State) -> None:
--- a/src/ebonyvalve/request/local.py
+++ b/src/ebonyvalve/request/local.py
@@ -5,6 +5,7 @@
 import functools
 import logging
 
+from returns import result
 import trio
 
 from ebonyvalve.connection import pool, wire
@@ -447,11 +448,12 @@
         return limit.Reply.FAILED
     if attempt.head_at_s is not None:
         return limit.Reply.OK
-    if attempt_result.is_timed_out and attempt.is_sent:
+    if attempt_result.is_timed_out and attempt.is_sent and not attempt.awaits_caller:
         return limit.Reply.TIMED_OUT
     if (
         not attempt_result.is_ended
         or not attempt.is_sent
+        or attempt.awaits_caller
         or attempt.step
         in (
             dispatch.Step.CALLER_GONE,
@@ -487,11 +489,13 @@
     """Check whether the target crashed while running a request whose connection broke."""
     site.record_lost_request(here, fingerprint, here.now())
     opened = await pool.open_new(job.connections, address)
-    if opened.value_or(None) is not None:
+    if isinstance(opened, result.Success):
         await pool.discard(job.connections, address, opened.unwrap())
         return
-    # On the same VM a refused connection proves a crash; whatever the reason, nothing can be sent
-    # there now.
+    # On the same VM a refused connection proves a crash. One that is not accepted in time does not:
+    # the target may be busy.
+    if opened.failure() is not pool.PoolFailure.REFUSED:
+        return
     count = site.record_crash(here, here.now())
     decision.record(
         log,
