Refuse a queued hop before its connection counts as silent

What callers saw: in calm, repeatable requests that had reached no target ended with 502 after 3 s and more.

The node that queues a repeatable hop now refuses it after 2.5 s. That says truthfully that it has not run: the node where it entered tries others without charging its retry budget, and refuses it with 503 if all refuse. Requests that may run once are not aborted as silent, so that they wait as before.

Ruled out: a broken or dropped connection. The other nodes logged these requests as under way until the abort.

The test of the queued hop fails without the change: it was answered after 3.96 s.

--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 import logging
+import math
 
 import trio
 
@@ -113,12 +114,19 @@
     is_released: bool = False
 
 
-async def run(delivery: Delivery, call: exchange.Call, caller: exchange.Caller) -> Completion:
+async def run(
+    delivery: Delivery,
+    call: exchange.Call,
+    caller: exchange.Caller,
+    *,
+    max_queue_s: float = math.inf,
+) -> Completion:
     """Run a request at this node's target.
 
     :param delivery: the state shared by the target's requests.
     :param call: the request, with its rules.
     :param caller: receives the reply.
+    :param max_queue_s: a request that has been queued for this long in seconds is refused.
     """
     node = delivery.node
     rules = call.rules
@@ -147,12 +155,15 @@
         return Completion(
             result=outcome.refuse(outcome.Reason.QUEUE_FULL), retry_after_s=admitted.retry_after_s
         )
-    if admitted.verdict is admission.Verdict.WAIT and not await _wait_in_queue(
-        delivery, admitted.ticket
-    ):
-        return Completion(
-            result=outcome.refuse(outcome.Reason.DEADLINE), retry_after_s=node.admission.work_s
-        )
+    if admitted.verdict is admission.Verdict.WAIT:
+        is_in_time = False
+        with trio.move_on_after(max_queue_s) as scope:
+            is_in_time = await _wait_in_queue(delivery, admitted.ticket)
+        if not is_in_time:
+            reason = (
+                outcome.Reason.QUEUE_FULL if scope.cancelled_caught else outcome.Reason.DEADLINE
+            )
+            return Completion(result=outcome.refuse(reason), retry_after_s=node.admission.work_s)
     slot_use = SlotUse(ticket=admitted.ticket, route=rules.route, began_at=node.now())
     try:
         # The target may have left, or its keys may have moved, while the request was queued.
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -4,6 +4,7 @@
 import dataclasses
 import functools
 import logging
+import math
 
 import trio
 
@@ -58,6 +59,9 @@
 RETRY_AFTER_S = 0.4
 # Total spread of the delay, as a fraction: callers are told 0.7 to 1.3 times the delay.
 RETRY_JITTER = 0.6
+# Other nodes take the connection of a repeatable request for silent after 3 s, see pool.sweep, and
+# can't know then whether it has run. One that is still queued is refused before that.
+MAX_HOP_QUEUE_S = 2.5
 # Tells callers that a request has not run and will not run later.
 NOT_RUN_STATUS = 503
 # The outcome of a request whose caller had left before it was read.
@@ -479,9 +483,15 @@
         )
         return await _report_hop_failure(origin, call, caller, completion, started_at)
     hop_caller = dataclasses.replace(caller, reply=reply)
-    completion, is_caller_gone = await _run_cancellable(
-        node, call, caller, functools.partial(delivery.run, origin.delivery, call, hop_caller)
+    is_repeatable = call.rules is not None and call.rules.is_repeatable
+    work = functools.partial(
+        delivery.run,
+        origin.delivery,
+        call,
+        hop_caller,
+        max_queue_s=MAX_HOP_QUEUE_S if is_repeatable else math.inf,
     )
+    completion, is_caller_gone = await _run_cancellable(node, call, caller, work)
     is_caller_gone = is_caller_gone or completion.result.reason is outcome.Reason.CALLER_GONE
     if not is_caller_gone and not caller.is_reply_begun():
         return await _report_hop_failure(origin, call, caller, completion, started_at)
--- a/tests/request/test_delivery.py
+++ b/tests/request/test_delivery.py
@@ -7,10 +7,12 @@
 import trio
 import trio.testing
 
-from ebonyvalve.process import identity, member
+from ebonyvalve.connection import liveness, wire
+from ebonyvalve.process import identity, member, timer
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import ledger
-from ebonyvalve.request import delivery, exchange, outcome
+from ebonyvalve.process.load import admission
+from ebonyvalve.request import attempt, delivery, exchange, hop_headers, origin, outcome
 from tests.request import test_origin
 
 SERVICE = identity.ServiceId("lookup")
@@ -217,3 +219,56 @@
     assert first_at == pytest.approx(0.2)
     assert last_at == pytest.approx(1.1)
     assert state.node.admission.work_s == pytest.approx(0.1)
+
+
+async def serve_behind_a_long_run(*, is_repeatable: bool) -> tuple[float, bytes | None]:
+    """Return how long a hop waits for the only slot, and how its refusal is reported."""
+    entry = test_origin.build_origin(0.0)
+    entry.delivery = build_delivery()
+    entry.node = entry.delivery.node
+    entry.node.admission.slots = 1
+    demand = admission.Demand(deadline_at=trio.current_time() + 9.0, objective_s=1.0, priority=1)
+    admission.admit(entry.node.admission, demand, trio.current_time())
+    call = build_call(4.0)
+    assert call.rules is not None
+    call.rules = dataclasses.replace(call.rules, key_slot=None, is_repeatable=is_repeatable)
+    reported: list[bytes | None] = []
+
+    async def reply(_: int, headers: exchange.Headers) -> bool:
+        reported.append(wire.find_header(headers, hop_headers.REFUSED_HEADER.lower()))
+        return False
+
+    caller = dataclasses.replace(
+        test_origin.NO_CALLER,
+        reply=reply,
+        wait_gone=trio.sleep_forever,
+        is_gone=lambda: False,
+    )
+    started_at = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(timer.run, entry.node.wakeups)
+        nursery.start_soon(delivery.run_queue, entry.delivery)
+        await origin.serve_hop(entry, call, caller)
+        nursery.cancel_scope.cancel()
+    return trio.current_time() - started_at, reported[0]
+
+
+async def test_queued_hop_is_refused_before_its_connection_counts_as_silent(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a queued request that the other node aborts and reports as unknown.
+
+    Issue 21: repeatable requests that had reached no target ended with 502 after 3 s in a queue.
+    """
+    waited_s, reported = await serve_behind_a_long_run(is_repeatable=True)
+    assert waited_s < liveness.compute_silence_timeout(attempt.TYPICAL_P99_S)
+    assert reported == b"not-run:queue-full"
+
+
+async def test_queued_hop_that_is_never_aborted_waits_until_its_deadline(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against refusing queued non-idempotent requests early."""
+    waited_s, reported = await serve_behind_a_long_run(is_repeatable=False)
+    assert waited_s > liveness.compute_silence_timeout(attempt.TYPICAL_P99_S)
+    assert reported == b"not-run:deadline"
