Log a hop whose other node left as caller-gone instead of deadline

A request whose caller leaves is cancelled, and its node logged and counted it with reason=deadline: the default completion. The test fails without the change.

--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -202,7 +202,7 @@
 
     :return: the completion, and whether the caller has left.
     """
-    completion = delivery.Completion(result=outcome.unknown(outcome.Reason.DEADLINE))
+    completion: delivery.Completion | None = None
     is_caller_gone = False
     async with trio.open_nursery() as nursery:
         # The node's clock may differ from Trio's clock.
@@ -219,6 +219,9 @@
             nursery.start_soon(watch)
         completion = await work()
         nursery.cancel_scope.cancel()
+    if completion is None:
+        reason = outcome.Reason.CALLER_GONE if is_caller_gone else outcome.Reason.DEADLINE
+        completion = delivery.Completion(result=outcome.unknown(reason))
     return completion, is_caller_gone
 
 
--- a/tests/request/test_delivery.py
+++ b/tests/request/test_delivery.py
@@ -272,3 +272,19 @@
     waited_s, reported = await serve_behind_a_long_run(is_repeatable=False)
     assert waited_s > liveness.compute_silence_timeout(attempt.TYPICAL_P99_S)
     assert reported == b"not-run:deadline"
+
+
+async def test_hop_that_the_other_node_ends_is_not_recorded_as_a_deadline(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a log that blames the deadline for a request that the other node aborted."""
+    entry = test_origin.build_origin(0.0)
+    entry.delivery = build_delivery()
+    entry.node = entry.delivery.node
+
+    async def leave() -> None:
+        await trio.sleep(0.5)
+
+    caller = dataclasses.replace(test_origin.NO_CALLER, wait_gone=leave, is_gone=lambda: False)
+    result = await origin.serve_hop(entry, build_call(2.0), caller)
+    assert result.reason is outcome.Reason.CALLER_GONE
