Bound the time for which callers that come back delay the end of a stop

Callers that are refused come back, each refusal starts the quiet time anew, and so a node without a request in flight stays away up to the end of its grace period.

Evidence: test_callers_that_go_on_sending_do_not_delay_the_end fails on the commit before (TooSlowError).

After 0.75 s of refusing, the first moment without a request ends the process. Other nodes have been told by then. A caller's request that crosses that moment was not read.

--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -54,6 +54,8 @@
 # The process ends early only if no request has arrived for this long, since one that is on its way
 # would be lost.
 QUIET_S = 0.25
+# Callers that go on sending cannot delay the end for longer than this.
+MAX_QUIET_WAIT_S = 0.75
 # Other nodes send nothing for ``selection.ENDING_PAUSE_S`` after each announcement.
 ANNOUNCE_END_INTERVAL_S = 0.7
 MAX_CONNECTIONS = 2000
@@ -449,11 +451,16 @@
 async def wait_until_quiet(daemon: Daemon) -> None:
     """Wait until no request is in any phase and none has arrived for ``QUIET_S``.
 
+    After ``MAX_QUIET_WAIT_S`` a moment without a request is enough.
+
     :param daemon: a daemon that refuses new requests.
     """
+    began_at = timer.now(daemon.timer)
     poll_ticks = timer.subscribe(daemon.timer, period_s=DRAIN_POLL_INTERVAL_S)
-    while not (front.is_quiet(daemon.callers, QUIET_S) and front.is_quiet(daemon.peers, QUIET_S)):
-        await timer.tick(daemon.timer, poll_ticks)
+    quiet_s = QUIET_S
+    while not (front.is_quiet(daemon.callers, quiet_s) and front.is_quiet(daemon.peers, quiet_s)):
+        if await timer.tick(daemon.timer, poll_ticks) > began_at + MAX_QUIET_WAIT_S:
+            quiet_s = 0.0
 
 
 if __name__ == "__main__":
--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -235,3 +235,20 @@
                 assert completed.count(name) <= 1
         # Other nodes hear of the stop, so that it does not take the whole grace period.
         assert 0 in entries or ended_at - started_at < GRACE_S - daemon.EXIT_MARGIN_S
+
+
+async def test_callers_that_go_on_sending_do_not_delay_the_end() -> None:
+    """Guards against a node that is away for the whole grace period as callers come back to it."""
+    async with mesh_module.open_mesh(["orders", "orders"]) as mesh:
+        client = await mesh_module.open_client(mesh.outbound[0])
+        await mesh_module.wait_status(client, 200, "/orders/warm")
+        traffic = Traffic()
+        style = Style(method="POST", body=b"", is_kept=False, split_at=0)
+        async with trio.open_nursery() as nursery:
+            address = mesh.outbound[0]
+            nursery.start_soon(keep_sending, traffic, address, "/orders/x", style, "0")
+            with trio.fail_after(GRACE_S - daemon.EXIT_MARGIN_S - 0.5):
+                await daemon.stop(mesh.daemons[0])
+            mesh.scopes[0].cancel()
+            nursery.cancel_scope.cancel()
+        assert set(traffic.answers.values()) <= {200, 503}
