--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 on one stream for servers and clients, based on h11."""
 
+import contextlib
 import dataclasses
 import enum
 import select
@@ -19,6 +20,8 @@
 # Offset and format of ``tcpi_last_data_recv`` in ``struct tcp_info`` of Linux, in milliseconds.
 LAST_DATA_OFFSET = 52
 LAST_DATA = struct.Struct("=I")
+# Value of SO_LINGER (``struct linger``) with which close() resets the connection.
+RESET_ON_CLOSE = struct.pack("=ii", 1, 0)
 
 
 class WireFailure(enum.Enum):
@@ -38,8 +41,9 @@
     """One HTTP/1.1 connection.
 
     ``received_bytes`` tells a slow connection from a silent one. ``is_writing`` stays true if a
-    write is cancelled, as the peer may have received a part of it. ``is_draining`` is set when the
-    last reply has been sent and further bytes of the peer are discarded.
+    write is cancelled, as the peer may have received a part of it. ``is_head_request`` says that
+    the request that was read last asks for the head of a response only. ``is_draining`` is set when
+    the last reply has been sent and further bytes of the peer are discarded.
     """
 
     stream: trio.abc.Stream
@@ -47,6 +51,7 @@
     received_bytes: int = 0
     is_reused: bool = False
     is_writing: bool = False
+    is_head_request: bool = False
     is_draining: bool = False
     # Events read since other tasks had a turn.
     events_since_yield: int = 0
@@ -94,6 +99,8 @@
         except h11.RemoteProtocolError:
             is_truncated = wire.http.their_state is h11.ERROR and wire.http.trailing_data[1]
             return result.Failure(WireFailure.CLOSED if is_truncated else WireFailure.MALFORMED)
+        if isinstance(event, h11.Request):
+            wire.is_head_request = event.method == b"HEAD"
         if event is not h11.NEED_DATA:
             return result.Success(event)  # type: ignore[arg-type]
         if wire.http.they_are_waiting_for_100_continue and not await send_continue(wire):
@@ -107,6 +114,23 @@
         wire.http.receive_data(bytes(data))
 
 
+async def wait_for_message(wire: Wire) -> None:
+    """Wait for the first bytes of the peer's next message, or for its close.
+
+    :param wire: a connection between two messages.
+    """
+    if wire.http.trailing_data[0]:
+        return
+    try:
+        data = await wire.stream.receive_some(READ_BYTES)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        # receive() reports it.
+        return
+    wire.events_since_yield = 0
+    wire.received_bytes += len(data)
+    wire.http.receive_data(bytes(data))
+
+
 def poll(wire: Wire) -> h11.Event | None:
     """Return the next body event if it has been received already, without waiting.
 
@@ -152,6 +176,18 @@
     return not is_readable and has_no_trailing_data(wire)
 
 
+def has_unread(wire: Wire) -> bool:
+    """Return whether a peer that is still connected has sent bytes that weren't read.
+
+    :param wire: a server side between two requests.
+    """
+    if is_closed_by_peer(wire):
+        return False
+    stream = wire.stream
+    is_readable = isinstance(stream, trio.SocketStream) and stream.socket.is_readable()
+    return is_readable or bool(wire.http.trailing_data[0])
+
+
 def is_between_requests(wire: Wire) -> bool:
     """Return whether no byte of a request was read since the last exchange ended.
 
@@ -193,7 +229,7 @@
 
 
 async def send(wire: Wire, *events: h11.Event) -> SendResult:
-    """Write events in one call of the stream.
+    """Write events in one call of the stream; the body of a response to HEAD is left out.
 
     The result is :attr:`WireFailure.CLOSED` if the connection is closed or an earlier write was
     cancelled, and :attr:`WireFailure.MALFORMED` if an event is not allowed in the connection's
@@ -213,7 +249,11 @@
                 return result.Failure(WireFailure.CLOSED)
             # The last check for a cancellation before h11 counts the message as begun.
             await trio.lowlevel.checkpoint_if_cancelled()
-            parts = [wire.http.send(event) for event in events]
+            parts = [
+                wire.http.send(event)
+                for event in events
+                if not (wire.is_head_request and isinstance(event, h11.Data))
+            ]
             data = b"".join(part for part in parts if part)
             if data:
                 wire.is_writing = True
@@ -352,9 +392,20 @@
 async def close(wire: Wire) -> None:
     """Close the connection at once, without completing a message that is being sent.
 
+    The connection of an incomplete response to HTTP/1.0 is reset: the response may be framed by the
+    end of the connection only, so that the client would take an orderly close for its end.
+
     :param wire: the connection.
     """
-    await trio.aclose_forcefully(wire.stream)
+    stream = wire.stream
+    http = wire.http
+    is_incomplete = http.our_state is h11.SEND_BODY or wire.is_writing
+    is_old = (http.their_http_version or b"1.1") < b"1.1"
+    if is_incomplete and is_old and isinstance(stream, trio.SocketStream):
+        with contextlib.suppress(OSError):
+            # The socket may be closed already.
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    await trio.aclose_forcefully(stream)
 
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -59,8 +59,11 @@
 # Other nodes send nothing for ``selection.ENDING_PAUSE_S`` after each announcement.
 ANNOUNCE_END_INTERVAL_S = 0.7
 MAX_CONNECTIONS = 2000
-# Limits of a message from another node, which itself gives up sooner.
-MAX_PUSH_BYTES = 1_048_576
+# Probes and requests of operators need no body.
+MAX_PROBE_BYTES = 1024
+# Limits of a message from another node, which itself gives up sooner. The longest one is a ledger,
+# which is a row of the store, and the store limits rows to 64 KiB.
+MAX_PUSH_BYTES = 65_536
 PUSH_TIMEOUT_S = 2.0
 
 
@@ -199,6 +202,7 @@
         find_limits=functools.partial(find_limits, entry.current),
         is_hop=False,
         parse=dialect.build_parse(now),
+        read_timeouts=functools.partial(read_timeouts, entry.current),
         coalesces_head=True,
         max_connections=MAX_CONNECTIONS,
     )
@@ -344,6 +348,19 @@
     return 60.0, current.traffic.limits.max_body_bytes
 
 
+def read_timeouts(current: traffic.CurrentTraffic) -> front.Timeouts:
+    """Return the time-outs of callers' connections.
+
+    :param current: the configuration in force.
+    """
+    if current.traffic is None:
+        return front.Timeouts()
+    limits = current.traffic.limits
+    # Callers that are slower than they should be are given some time more.
+    head_s = max(front.HEAD_TIMEOUT_S, limits.head_timeout_s)
+    return front.Timeouts(idle_s=limits.idle_timeout_s, head_s=head_s)
+
+
 def build_ready_server(daemon: Daemon) -> network.Serve:
     """Return the server of the readiness probe and of the pages for operators.
 
@@ -360,7 +377,7 @@
         is_ready = node_module.is_ready(daemon.node)
         return http.Reply(status=200 if is_ready else 503, body=b"{}")
 
-    return functools.partial(http.serve, respond)
+    return functools.partial(http.serve, respond, max_bytes=MAX_PROBE_BYTES)
 
 
 def find_metrics_address(place: place_module.Place, port: str) -> identity.Address | None:
@@ -390,8 +407,6 @@
 async def sweep(daemon: Daemon) -> None:
     """Check connections to targets and nodes periodically, until cancelled.
 
-    It also applies the idle time-out of the current configuration to callers.
-
     :param daemon: the daemon.
     """
     ticks = timer.subscribe(daemon.timer, period_s=SWEEP_INTERVAL_S)
@@ -400,9 +415,6 @@
         await reachability.check_peers(daemon.watch)
         await pool.sweep(daemon.origin.peers, p99_s=attempt.TYPICAL_P99_S)
         await pool.sweep(daemon.origin.delivery.pool, p99_s=attempt.TYPICAL_P99_S)
-        config = daemon.origin.current.traffic
-        if config is not None:
-            daemon.callers.idle_timeout_s = config.limits.idle_timeout_s
 
 
 async def stop(daemon: Daemon) -> None:
--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -4,19 +4,17 @@
 import contextlib
 import dataclasses
 import enum
-import logging
+import math
 
 import trio
 
 from ebonyvalve.connection import pool, wire
-from ebonyvalve.process import decision, decoding, identity, timer
+from ebonyvalve.process import decoding, identity, timer
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant, ledger
 from ebonyvalve.process.load import admission, lag, rates
 from ebonyvalve.request import attempt, correlation, crash, dispatch, exchange, outcome
 
-log = logging.getLogger(__name__)
-
 # Stands for all requests without a key in the request rates by key slot.
 UNKEYED = -1
 # Weight of a refused request in the request rates. Callers that are refused retry, mostly twice.
@@ -113,12 +111,19 @@
     is_released: bool = False
 
 
-async def run(delivery: Delivery, call: exchange.Call, caller: exchange.Caller) -> Completion:
+async def run(
+    delivery: Delivery,
+    call: exchange.Call,
+    caller: exchange.Caller,
+    *,
+    max_queue_s: float = math.inf,
+) -> Completion:
     """Run a request at this node's target.
 
     :param delivery: the state shared by the target's requests.
     :param call: the request, with its rules.
     :param caller: receives the reply.
+    :param max_queue_s: a request that has been queued for this long in seconds is refused.
     """
     node = delivery.node
     rules = call.rules
@@ -147,14 +152,17 @@
         return Completion(
             result=outcome.refuse(outcome.Reason.QUEUE_FULL), retry_after_s=admitted.retry_after_s
         )
-    if admitted.verdict is admission.Verdict.WAIT and not await _wait_in_queue(
-        delivery, admitted.ticket
-    ):
-        if node.is_ending:
+    if admitted.verdict is admission.Verdict.WAIT:
+        is_in_time = False
+        with trio.move_on_after(max_queue_s) as scope:
+            is_in_time = await _wait_in_queue(delivery, admitted.ticket)
+        if not is_in_time and node.is_ending:
             return _refuse_stopping()
-        return Completion(
-            result=outcome.refuse(outcome.Reason.DEADLINE), retry_after_s=node.admission.work_s
-        )
+        if not is_in_time:
+            reason = (
+                outcome.Reason.QUEUE_FULL if scope.cancelled_caught else outcome.Reason.DEADLINE
+            )
+            return Completion(result=outcome.refuse(reason), retry_after_s=node.admission.work_s)
     slot_use = SlotUse(ticket=admitted.ticket, route=rules.route, began_at=node.now())
     try:
         # The target may have left, or its keys may have moved, while the request was queued.
@@ -342,9 +350,7 @@
 
     def filter_reply(status: int, headers: exchange.Headers) -> exchange.Headers | None:
         reply_kind[0] = dialect.classify_reply(status, headers)
-        if not correlation.is_reply_to_last(
-            attempt_result.attempt.reply_correlation, is_first=attempt_result.attempt.is_first
-        ):
+        if not attempt.is_reply_to_last(attempt_result.attempt):
             reply_kind[0] = ReplyKind.UNTRUSTED
         if reply_kind[0] is not ReplyKind.ANSWER:
             return None
@@ -362,6 +368,7 @@
         address=node.place.target_address,
         extra_headers=dialect.build_headers(call, target.lifetime, remaining_s),
         filter_reply=filter_reply,
+        is_repeatable=call.rules is not None and call.rules.is_repeatable,
         p99_s=attempt.TYPICAL_P99_S,
         correlate=lambda headers: dialect.correlate(headers, call.request_id),
     )
@@ -376,7 +383,7 @@
         return Completion(result=outcome.refuse(outcome.Reason.NO_TARGET), retry_after_s=0.3)
     if attempt_result.attempt.step is dispatch.Step.WITHHELD:
         if reply_kind[0] is ReplyKind.UNTRUSTED:
-            _record_untrusted(call, attempt_result.attempt)
+            attempt.record_untrusted(call, attempt_result.attempt)
         return _conclude_withheld(node, reply_kind[0])
     completion = attempt.conclude(attempt_result)
     if (
@@ -415,19 +422,6 @@
         scope.shield = False
 
 
-def _record_untrusted(call: exchange.Call, finished: dispatch.Attempt) -> None:
-    """Log a reply that cannot be shown to be the target's own reply to this request."""
-    decision.record(
-        log,
-        logging.INFO,
-        "answer-spoiled",
-        id=call.request_id,
-        status=finished.status,
-        names=finished.reply_correlation,
-        first=finished.is_first,
-    )
-
-
 def _conclude_withheld(node: node_module.Node, reply_kind: ReplyKind) -> Completion:
     """Return the completion of a request whose reply was not passed on to the caller."""
     if reply_kind is ReplyKind.UNTRUSTED:
--- a/src/ebonyvalve/request/dispatch.py
+++ b/src/ebonyvalve/request/dispatch.py
@@ -25,6 +25,8 @@
     b"transfer-encoding",
     b"upgrade",
 }
+# A message can't be sent without these, whatever its Connection header names.
+REQUIRED_HEADERS = {b"content-length", b"host"}
 
 
 # Limits for replies that are not passed on: their bytes, and their number before the expected one.
@@ -58,10 +60,10 @@
 
     ``is_sent`` says whether bytes of the request may have reached the other end. ``is_body_open``
     says whether the caller's body was read beyond the buffered prefix, so that it cannot be sent
-    again. ``head_at_s`` is when the reply's head came, in seconds on the node's clock.
-    ``is_reply_begun`` says whether the caller was sent a part of the reply. ``reply_correlation``
-    says which request the reply names, and ``is_first`` whether it is the first reply on its
-    connection.
+    again, and ``awaits_caller`` whether its next part is awaited. ``head_at_s`` is when the reply's
+    head came, in seconds on the node's clock. ``is_reply_begun`` says whether the caller was sent a
+    part of the reply. ``reply_correlation`` says which request the reply names, and ``is_first``
+    whether it is the first reply on its connection.
     """
 
     step: Step = Step.LOST_BEFORE_REPLY
@@ -69,6 +71,7 @@
     headers: exchange.Headers = dataclasses.field(default_factory=list)
     is_sent: bool = False
     is_body_open: bool = False
+    awaits_caller: bool = False
     is_reply_begun: bool = False
     # Bytes of the reply's body that were handed to the caller's end.
     body_bytes: int = 0
@@ -159,7 +162,7 @@
     :param headers: pairs with names in lower case.
     """
     connection_header = wire.find_header(headers, b"connection") or b""
-    excluded = {name.strip().lower() for name in connection_header.split(b",")}
+    excluded = {name.strip().lower() for name in connection_header.split(b",")} - REQUIRED_HEADERS
     if wire.find_header(headers, b"transfer-encoding") is not None:
         # Chunked encoding overrides Content-Length (RFC 9112, section 6.3), which may be wrong.
         excluded.add(b"content-length")
@@ -173,6 +176,9 @@
 def _list_headers(call: exchange.Call, extra_headers: exchange.Headers) -> exchange.Headers:
     """Return the headers to send, with chunked encoding for a body of unknown length."""
     headers = filter_headers(call.headers) + extra_headers
+    if wire.find_header(headers, b"host") is None:
+        # HTTP/1.0 has no mandatory Host header (RFC 9112, section 3.2).
+        headers.append((b"host", b""))
     if call.length is None and not (call.is_body_buffered and not call.prefix):
         headers.append((b"transfer-encoding", b"chunked"))
     return headers
@@ -193,7 +199,9 @@
         attempt.is_body_open = True
         # A slow caller must not make the connection look silent.
         liveness.record_held_by_caller(connection.state)
+        attempt.awaits_caller = True
         chunk = await caller.receive()
+        attempt.awaits_caller = False
         liveness.record_awaiting(connection.state, now())
         if isinstance(chunk, result.Failure):
             # No end of the body is sent, so that the target cannot take it for complete.
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -5,12 +5,14 @@
 import dataclasses
 import logging
 import secrets
+import sys
 import urllib.parse
 
 import h11
 from returns import result
 import trio
 
+from ebonyvalve import errors
 from ebonyvalve.connection import wire
 from ebonyvalve.process import decision, identity
 from ebonyvalve.request import deadline, exchange, outcome
@@ -27,6 +29,9 @@
 PREFIX_TIMEOUT_S = 10.0
 PREFIX_BYTES = 4096
 
+# States of a server whose reply hasn't been written to its end.
+INCOMPLETE_STATES = frozenset({h11.SEND_RESPONSE, h11.SEND_BODY, h11.ERROR})
+
 TOKEN_HEADER = b"ebonyvalve-token"
 DEADLINE_HEADER = b"ebonyvalve-deadline-ms"
 REQUEST_ID_HEADER = b"ebonyvalve-request-id"
@@ -62,20 +67,33 @@
     return refusal
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Timeouts:
+    """Time-outs of connections in seconds.
+
+    ``idle_s`` is for the time between two requests; ``head_s`` for the wait for the first request,
+    and for each head from its first bytes on.
+    """
+
+    idle_s: float = IDLE_TIMEOUT_S
+    head_s: float = HEAD_TIMEOUT_S
+
+
 @dataclasses.dataclass(kw_only=True)
 class Front:
     """The state and settings of one listener.
 
     ``find_limits`` returns the default deadline in seconds and the largest body in bytes of a
-    service. ``is_hop`` marks the listener that only other nodes may use. ``parse`` parses the head
-    of a request; the default is :func:`parse_call`. Idle connections are closed after
-    ``idle_timeout_s``. With ``coalesces_head`` the head of a reply is sent together with the first
-    part of its body, which saves a write.
+    service; it does not limit the bodies that other nodes forward. ``is_hop`` marks the listener
+    that only other nodes may use. ``parse`` parses the head of a request; the default is
+    :func:`parse_call`. ``read_timeouts`` returns the time-outs of connections, which may change.
+    With ``coalesces_head`` the head of a reply is sent together with the first part of its body,
+    which saves a write.
 
     While ``is_stopping``, answers say that the connection closes after them. While ``is_refusing``,
     requests are given to ``refuse`` as soon as their head was read, also those whose body was still
     arriving. ``refused_at_s`` is when that last happened. ``head_scopes`` holds the cancel scopes
-    of the reads of a head by connection, ``body_scopes`` those of the bodies that are being read.
+    of the heads that are being read by connection, ``body_scopes`` those of the bodies.
     """
 
     now: collections.abc.Callable[[], float]
@@ -83,7 +101,7 @@
     find_limits: collections.abc.Callable[[identity.ServiceId], tuple[float, int]]
     is_hop: bool
     parse: Parse | None = None
-    idle_timeout_s: float = IDLE_TIMEOUT_S
+    read_timeouts: collections.abc.Callable[[], Timeouts] = Timeouts
     coalesces_head: bool = False
     max_connections: int = 1000
     refuse: Handle = refuse_stopping
@@ -105,7 +123,6 @@
     body_bytes: int = 0
     is_body_read: bool = False
     is_continued: bool = False
-    is_head_only: bool = False
 
 
 async def serve(front: Front, stream: trio.abc.Stream) -> None:
@@ -123,11 +140,25 @@
     try:
         while await _serve_one(front, conn):
             pass
+    except Exception as exc:
+        if _is_invariant_violated(exc):
+            raise
+        # A bug that one request meets must not end the requests of all other callers.
+        log.exception("request-failed")
+        await _reply_error(conn, outcome.unknown(outcome.Reason.CONNECTION_LOST), "internal error")
     finally:
         front.conns.discard(conn)
+        _record_unread(front, conn)
         await wire.close(conn)
 
 
+def _is_invariant_violated(exc: Exception) -> bool:
+    """Return whether an exception, or one of a group, means that the process must stop."""
+    if isinstance(exc, ExceptionGroup):
+        return exc.subgroup(errors.InvariantError) is not None
+    return isinstance(exc, errors.InvariantError)
+
+
 def drain(front: Front) -> None:
     """Ask callers to leave: every answer from now on is the last one on its connection.
 
@@ -195,14 +226,21 @@
     age_s = wire.read_data_age(conn)
     call.arrived_at_s -= age_s
     call.deadline_at_s -= age_s
-    _, max_body_bytes = front.find_limits(call.service)
-    incoming = Incoming(
-        conn=conn, front=front, max_body_bytes=max_body_bytes, is_head_only=call.method == "HEAD"
-    )
+    max_body_bytes = _find_max_body(front, call)
+    incoming = Incoming(conn=conn, front=front, max_body_bytes=max_body_bytes)
     if call.length is not None and call.length > max_body_bytes:
         reason = f"body of {call.length} bytes exceeds the limit of {max_body_bytes} bytes"
         await _reply_error(conn, outcome.refuse(outcome.Reason.BAD_REQUEST), reason)
         return False
+    try:
+        return await _answer(incoming, call)
+    finally:
+        _record_unanswered(incoming, call)
+
+
+async def _answer(incoming: Incoming, call: exchange.Call) -> bool:
+    """Answer a request whose head was read; return whether the connection can serve another one."""
+    front, conn = incoming.front, incoming.conn
     caller = build_caller(incoming)
     is_intact = front.is_refusing or await _buffer_prefix(front, call, caller)
     if front.is_refusing:
@@ -217,10 +255,54 @@
     return await _finish_exchange(incoming)
 
 
+def _record_unanswered(incoming: Incoming, call: exchange.Call) -> None:
+    """Log a request whose connection this node closes before the reply is complete."""
+    conn, front = incoming.conn, incoming.front
+    is_incomplete = conn.is_writing or conn.http.our_state in INCOMPLETE_STATES
+    if not is_incomplete or wire.is_closed_by_peer(conn):
+        return
+    decision.record(
+        log,
+        logging.WARNING,
+        "unanswered",
+        id=call.request_id,
+        hop=front.is_hop,
+        begun=conn.http.our_state is not h11.SEND_RESPONSE,
+        body_read=call.is_body_buffered or incoming.is_body_read,
+        stopping=front.is_stopping,
+        took_ms=int((front.now() - call.arrived_at_s) * 1000),
+        left_ms=int((call.deadline_at_s - front.now()) * 1000),
+    )
+
+
+def _record_unread(front: Front, conn: wire.Wire) -> None:
+    """Log a connection that is closed although bytes of a further request have arrived."""
+    if conn.http.our_state is h11.IDLE and wire.has_unread(conn):
+        decision.record(
+            log,
+            logging.WARNING,
+            "request-unread",
+            hop=front.is_hop,
+            reused=conn.is_reused,
+            stopping=front.is_stopping,
+        )
+
+
+def _find_max_body(front: Front, call: exchange.Call) -> int:
+    """Return the size in bytes up to which a request's body is read."""
+    if front.is_hop:
+        # The node where the request entered has checked it, maybe by another version of the
+        # configuration.
+        return sys.maxsize
+    return front.find_limits(call.service)[1]
+
+
 async def _receive_head(front: Front, conn: wire.Wire) -> h11.Request | wire.WireFailure | None:
     """Return the next head, or ``None`` if the connection ended between requests."""
-    timeout_s = front.idle_timeout_s if conn.is_reused else HEAD_TIMEOUT_S
-    with trio.move_on_after(timeout_s) as scope:
+    if not await _wait_while_idle(front, conn):
+        return None
+    # A head that has begun gets its own time, as callers may begin one until the idle time is over.
+    with trio.move_on_after(front.read_timeouts().head_s) as scope:
         front.head_scopes[conn] = scope
         try:
             received = await wire.receive(conn)
@@ -238,6 +320,28 @@
     return None
 
 
+async def _wait_while_idle(front: Front, conn: wire.Wire) -> bool:
+    """Wait for the next head to begin; return whether it did before the connection is to close."""
+    started_at = trio.current_time()
+    timeout_s = _find_wait(front, conn)
+    while True:
+        with trio.move_on_at(started_at + timeout_s):
+            await wire.wait_for_message(conn)
+            return True
+        # Callers rely on a time-out that has become longer also for connections that are idle
+        # already. One that has become shorter applies to the next idle time only.
+        current_s = _find_wait(front, conn)
+        if current_s <= timeout_s:
+            return False
+        timeout_s = current_s
+
+
+def _find_wait(front: Front, conn: wire.Wire) -> float:
+    """Return how many seconds a connection may be open without a request."""
+    timeouts = front.read_timeouts()
+    return timeouts.idle_s if conn.is_reused else timeouts.head_s
+
+
 def parse_call(front: Front, head: h11.Request) -> exchange.Call | str:
     """Return the request that a head describes, or a description of what is wrong with it.
 
--- a/src/ebonyvalve/request/hop.py
+++ b/src/ebonyvalve/request/hop.py
@@ -44,6 +44,7 @@
         address=member.hop_address,
         extra_headers=extra,
         filter_reply=filter_hop_reply,
+        is_repeatable=is_idempotent,
         p99_s=straggler.read_quantile(here.latencies[service.name], 0.99),
         max_idle_s=None if is_idempotent else local.MAX_IDLE_UNREPEATABLE_S,
         awaits_continue=not call.is_body_buffered,
@@ -113,8 +114,11 @@
     attempt_result: attempts.AttemptResult,
     started_s: float,
 ) -> None:
-    """Record the latency; a cancelled attempt counts with the time until its cancellation."""
-    if not attempt_result.attempt.is_sent:
+    """Record the latency; a cancelled attempt counts with the time until its cancellation.
+
+    An attempt that waited for the caller's body says nothing about the node.
+    """
+    if not attempt_result.attempt.is_sent or attempt_result.attempt.awaits_caller:
         return
     head_s = attempt_result.attempt.head_at_s
     latency_s = (here.now() if head_s is None else head_s) - started_s
--- a/src/ebonyvalve/request/local.py
+++ b/src/ebonyvalve/request/local.py
@@ -5,6 +5,7 @@
 import functools
 import logging
 
+from returns import result
 import trio
 
 from ebonyvalve.connection import pool, wire
@@ -126,14 +127,35 @@
 ) -> exchange.Completion:
     """Make the attempt, and record its result however it ends."""
     started_s = here.now()
-    flight = site.begin_flight(here, job.shard, fingerprint)
     attempt_result = attempts.AttemptResult()
+
+    def is_cancellable() -> bool:
+        if not attempt_result.attempt.is_sent:
+            return True
+        return not (is_unrepeatable or job.caller.is_reply_begun())
+
+    flight = site.Flight(
+        shard=job.shard,
+        fingerprint=fingerprint,
+        is_cancellable=is_cancellable,
+        is_reply_begun=job.caller.is_reply_begun,
+        find_run_end=functools.partial(_find_run_end, here, job),
+    )
+    site.begin_flight(here, flight)
     completion = exchange.Completion(result=outcome.unknown(outcome.Reason.CALLER_GONE))
     address = here.target.address or identity.Address("")
-    context = _build_context(here, job, tokens, filter_reply, is_unrepeatable=is_unrepeatable)
+
+    def filter_and_release(status: int, headers: exchange.Headers) -> exchange.Headers | None:
+        # The target has finished its work. How long the reply's body takes depends on the network.
+        _end_admission(here, ticket, here.now() - started_s, limit.Reply.OK)
+        return filter_reply(status, headers)
+
+    context = _build_context(here, job, tokens, filter_and_release, is_unrepeatable=is_unrepeatable)
     try:
         with flight.scope:
             await attempts.run(context, job.call, job.caller, here.now, attempt_result)
+        if _is_untrusted(attempt_result.attempt):
+            attempts.record_untrusted(job.call, attempt_result.attempt)
         completion = _conclude(attempt_result)
     finally:
         _record_unconfirmed(here, job, attempt_result)
@@ -163,7 +185,7 @@
     """Return an attempt's context; its filter adds the outcome and the next token to the reply."""
 
     def filter_target_reply(status: int, headers: exchange.Headers) -> exchange.Headers | None:
-        if wire.find_header(headers, front.OUTCOME_HEADER) == b"not-run":
+        if _is_refusal(headers):
             return None
         answered = outcome.Outcome(verdict=outcome.Verdict.ANSWERED, status=status)
         kept_headers = [pair for pair in headers if not pair[0].startswith(front.HEADER_PREFIX)]
@@ -184,6 +206,7 @@
         address=here.target.address or identity.Address(""),
         extra_headers=[*list_extra(job.call, here.now()), fence, grant_until],
         filter_reply=filter_target_reply,
+        is_repeatable=not is_unrepeatable,
         p99_s=straggler.read_quantile(here.latencies[job.service.name], 0.99),
         max_idle_s=MAX_IDLE_UNREPEATABLE_S if is_unrepeatable else None,
         correlate=functools.partial(_correlate, job.call.request_id.encode()),
@@ -315,13 +338,18 @@
     """Return the completion of a request at the local target."""
     if not attempt_result.is_ended:
         return _conclude_cancelled(attempt_result)
-    if attempt_result.attempt.step is not dispatch.Step.WITHHELD:
+    attempt = attempt_result.attempt
+    if attempt.step is not dispatch.Step.WITHHELD:
         return attempts.conclude(attempt_result)
-    reported = wire.find_header(attempt_result.attempt.headers, front.REASON_HEADER) or b""
+    if not _is_refused_by_target(attempt):
+        # The reply may be an earlier refusal, or a hedge was answered first.
+        return exchange.Completion(
+            result=outcome.unknown(outcome.Reason.CONNECTION_LOST),
+            is_body_open=attempt.is_body_open,
+        )
+    reported = wire.find_header(attempt.headers, front.REASON_HEADER) or b""
     reason = TARGET_REASONS.get(reported, outcome.Reason.TARGET_SHED)
-    return exchange.Completion(
-        result=outcome.refuse(reason), is_body_open=attempt_result.attempt.is_body_open
-    )
+    return exchange.Completion(result=outcome.refuse(reason), is_body_open=attempt.is_body_open)
 
 
 def _conclude_cancelled(attempt_result: attempts.AttemptResult) -> exchange.Completion:
@@ -338,12 +366,17 @@
 def _record_unconfirmed(here: site.Site, job: Job, attempt_result: attempts.AttemptResult) -> None:
     """Keep the shard for as long as the target may still run a request that was abandoned."""
     attempt = attempt_result.attempt
-    if not attempt.is_sent or attempt.head_at_s is not None:
+    if not attempt.is_sent or (attempt.head_at_s is not None and not _is_untrusted(attempt)):
         return
+    site.record_possible_run(here, job.shard, _find_run_end(here, job))
+
+
+def _find_run_end(here: site.Site, job: Job) -> float:
+    """Return the time in seconds after which the target can no longer run a request."""
     until_s = job.call.deadline_at_s
     if job.service.checks_fence:
         until_s = min(until_s, here.sent_grant_end_s)
-    site.record_possible_run(here, job.shard, until_s)
+    return until_s
 
 
 def _find_recorded_outcome(
@@ -353,14 +386,24 @@
     attempt = attempt_result.attempt
     if not attempt.is_sent or _is_refused_by_target(attempt):
         return outcome.refuse(completion.result.reason)
-    if attempt.head_at_s is not None:
+    if attempt.head_at_s is not None and not _is_untrusted(attempt):
         return outcome.Outcome(verdict=outcome.Verdict.ANSWERED, status=attempt.status)
     return outcome.unknown(completion.result.reason)
 
 
+def _is_refusal(headers: exchange.Headers) -> bool:
+    """Return whether a reply of the target says that a request did not run."""
+    return wire.find_header(headers, front.OUTCOME_HEADER) == b"not-run"
+
+
 def _is_refused_by_target(attempt: dispatch.Attempt) -> bool:
-    """Return whether the target itself reported that it did not run the request."""
-    return wire.find_header(attempt.headers, front.OUTCOME_HEADER) == b"not-run"
+    """Return whether the target itself reported that it did not run this request."""
+    return _is_refusal(attempt.headers) and attempts.is_reply_to_last(attempt)
+
+
+def _is_untrusted(attempt: dispatch.Attempt) -> bool:
+    """Return whether the reply is a refusal that may belong to an earlier request."""
+    return _is_refusal(attempt.headers) and not attempts.is_reply_to_last(attempt)
 
 
 def _record_result(
@@ -401,13 +444,16 @@
         reported = wire.find_header(attempt.headers, front.REASON_HEADER)
         # A stale fencing token is not a sign of load.
         return limit.Reply.ABANDONED if reported == b"stale-fence" else limit.Reply.SHED
+    if _is_untrusted(attempt):
+        return limit.Reply.FAILED
     if attempt.head_at_s is not None:
         return limit.Reply.OK
-    if attempt_result.is_timed_out and attempt.is_sent:
+    if attempt_result.is_timed_out and attempt.is_sent and not attempt.awaits_caller:
         return limit.Reply.TIMED_OUT
     if (
         not attempt_result.is_ended
         or not attempt.is_sent
+        or attempt.awaits_caller
         or attempt.step
         in (
             dispatch.Step.CALLER_GONE,
@@ -443,11 +489,13 @@
     """Check whether the target crashed while running a request whose connection broke."""
     site.record_lost_request(here, fingerprint, here.now())
     opened = await pool.open_new(job.connections, address)
-    if opened.value_or(None) is not None:
+    if isinstance(opened, result.Success):
         await pool.discard(job.connections, address, opened.unwrap())
         return
-    # On the same VM a refused connection proves a crash; whatever the reason, nothing can be sent
-    # there now.
+    # On the same VM a refused connection proves a crash. One that is not accepted in time does not:
+    # the target may be busy.
+    if opened.failure() is not pool.PoolFailure.REFUSED:
+        return
     count = site.record_crash(here, here.now())
     decision.record(
         log,
--- a/tests/request/test_front.py
+++ b/tests/request/test_front.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server against malformed input and hostile callers."""
 
 import functools
+import socket
 
 import hypothesis
 import hypothesis.strategies as st
@@ -8,7 +9,8 @@
 import trio
 import trio.testing
 
-from ebonyvalve.request import dispatch, exchange, front, outcome
+from ebonyvalve import errors
+from ebonyvalve.request import dispatch, exchange, front, origin, outcome
 
 MAX_BODY_BYTES = 20_000
 GOOD = b"GET /calendrier/salle-1/slots HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -60,6 +62,20 @@
     return bytes(received)
 
 
+async def receive_reply(stream: trio.abc.Stream) -> bool:
+    """Return whether a whole reply to ``GOOD`` is received."""
+    received = b""
+    while not received.endswith(b"\r\n\r\n0"):
+        try:
+            part = bytes(await stream.receive_some())
+        except trio.BrokenResourceError:
+            return False
+        if not part:
+            return False
+        received += part
+    return received.startswith(b"HTTP/1.1 200")
+
+
 MALFORMED = [
     pytest.param(b"nonsense\r\n\r\n", b"400", id="not-http"),
     pytest.param(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", b"400", id="no-key"),
@@ -95,6 +111,55 @@
     assert b"ebonyvalve-outcome: not-run" in reply
 
 
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+@pytest.mark.parametrize(("is_hop", "is_accepted"), [(False, False), (True, True)])
+async def test_body_is_checked_where_it_enters(
+    autojump_clock: trio.testing.MockClock, framing: str, is_hop: bool, is_accepted: bool
+) -> None:
+    """Guards against refusing a body that another node has accepted by another configuration.
+
+    Beside a change of the limit, its caller was told 400 by the second node.
+    """
+    body = b"x" * (MAX_BODY_BYTES + 1)
+    head = b"POST /a/b HTTP/1.1\r\nHost: x\r\n"
+    if framing == "length":
+        data = head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    else:
+        chunk = b"%x\r\n%s\r\n" % (len(body), body)
+        data = head + b"Transfer-Encoding: chunked\r\n\r\n" + chunk + b"0\r\n\r\n"
+    listener = build_front()
+    listener.is_hop = is_hop
+    reply = await exchange_bytes(listener, data)
+    assert (b"HTTP/1.1 200" in reply) is is_accepted
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        # Refused by the listener, then by the handler.
+        b"HEAD /a HTTP/1.1\r\nHost: x\r\n\r\n",
+        b"HEAD /a/b HTTP/1.1\r\nHost: x\r\nContent-Length: 20001\r\n\r\n",
+        b"HEAD /a/b HTTP/1.1\r\nHost: x\r\n\r\n",
+    ],
+)
+@pytest.mark.parametrize("coalesces_head", [False, True])
+async def test_head_request_is_refused_without_a_body(
+    autojump_clock: trio.testing.MockClock, head: bytes, coalesces_head: bool
+) -> None:
+    """Guards against closing the connection of a HEAD request without an answer."""
+
+    async def refuse(call: exchange.Call, caller: exchange.Caller) -> outcome.Outcome:
+        refusal = outcome.refuse(outcome.Reason.QUEUE_FULL)
+        await origin.send_refusal(caller, refusal, 0.0)
+        return refusal
+
+    listener = build_front(coalesces_head=coalesces_head)
+    listener.handle = refuse
+    reply = await exchange_bytes(listener, head)
+    assert reply.startswith((b"HTTP/1.1 400", b"HTTP/1.1 503")), reply
+    assert b"content-length:" in reply and reply.endswith(b"\r\n\r\n")
+
+
 async def test_pipelined_requests_are_answered_in_order(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
@@ -157,6 +222,80 @@
     assert trio.current_time() - start_s == pytest.approx(front.HEAD_TIMEOUT_S)
 
 
+async def test_head_that_begins_within_the_idle_time_is_read_to_its_end(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a connection that is closed without a reply in the middle of a head.
+
+    The idle time covered the whole head, so that one that began at its end had no time to arrive.
+    """
+    listener = build_front()
+    listener.read_timeouts = lambda: front.Timeouts(idle_s=5.0)
+    near, far = trio.testing.memory_stream_pair()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(front.serve, listener, far)
+        await near.send_all(GOOD)
+        assert await receive_reply(near)
+        await trio.sleep(4.9)
+        await near.send_all(GOOD[:10])
+        await trio.sleep(0.2)
+        await near.send_all(GOOD[10:])
+        assert await receive_reply(near)
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(("before_s", "after_s"), [(5.0, 5.0), (5.0, 20.0), (20.0, 5.0)])
+async def test_changed_idle_time_applies_to_idle_connections(
+    autojump_clock: trio.testing.MockClock, before_s: float, after_s: float
+) -> None:
+    """Guards against closing a connection on whose idle time its caller may still rely.
+
+    A time-out that became longer had no effect on connections that were idle already.
+    """
+    timeout_s = before_s
+    listener = build_front()
+    listener.read_timeouts = lambda: front.Timeouts(idle_s=timeout_s)
+    near, far = trio.testing.memory_stream_pair()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(front.serve, listener, far)
+        await near.send_all(GOOD)
+        assert await receive_reply(near)
+        started_at = trio.current_time()
+        await trio.sleep(1.0)
+        timeout_s = after_s
+        assert not await receive_reply(near)
+        assert trio.current_time() - started_at == pytest.approx(max(before_s, after_s))
+
+
+async def test_request_that_arrives_as_the_idle_time_ends_is_read(
+    mock_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against closing a connection over a request that lies unread in the kernel.
+
+    A busy process learns of the request and of the end of the idle time in the same pass.
+    """
+    listener = build_front()
+    pair = socket.socketpair()
+    near, far = (trio.SocketStream(trio.socket.from_stdlib_socket(sock)) for sock in pair)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(front.serve, listener, far)
+        await near.send_all(GOOD)
+        assert await receive_reply(near)
+        await trio.testing.wait_all_tasks_blocked()
+        mock_clock.jump(2 * front.IDLE_TIMEOUT_S)
+        pair[0].send(GOOD)
+        assert await receive_reply(near)
+        nursery.cancel_scope.cancel()
+    near.socket.close()
+
+
+async def test_head_that_never_ends_is_cut_off(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a caller that occupies a connection by never finishing a head."""
+    start_s = trio.current_time()
+    assert await exchange_bytes(build_front(), GOOD[:10], ends=False) == b""
+    assert trio.current_time() - start_s == pytest.approx(front.HEAD_TIMEOUT_S)
+
+
 async def test_slow_body_is_cut_off(autojump_clock: trio.testing.MockClock) -> None:
     """Guards against a caller that occupies a slot by never finishing its body."""
     head = b"POST /a/b HTTP/1.1\r\nHost: x\r\nContent-Length: 10000\r\n\r\n" + b"x" * 100
@@ -165,6 +304,50 @@
     assert trio.current_time() - start_s <= front.BODY_STALL_S + front.LINGER_S + 0.1
 
 
+@pytest.mark.parametrize("in_nursery", [False, True])
+async def test_exception_of_a_request_is_answered_and_ends_nothing_else(
+    autojump_clock: trio.testing.MockClock, in_nursery: bool
+) -> None:
+    """Guards against a bug in the handling of one request that ends the process."""
+    is_broken = True
+
+    async def fail(call: exchange.Call, caller: exchange.Caller) -> outcome.Outcome:
+        if not is_broken:
+            return await answer_all(call, caller)
+        if not in_nursery:
+            raise KeyError("service")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fail_later)
+        raise AssertionError("not reached")
+
+    async def fail_later() -> None:
+        raise KeyError("service")
+
+    listener = build_front()
+    listener.handle = fail
+    reply = await exchange_bytes(listener, GOOD)
+    assert reply.startswith(b"HTTP/1.1 502")
+    assert b"ebonyvalve-outcome: unknown" in reply
+    assert (listener.active_requests, listener.connections) == (0, 0)
+    is_broken = False
+    assert (await exchange_bytes(listener, GOOD)).startswith(b"HTTP/1.1 200")
+
+
+async def test_violated_invariant_ends_the_process(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a process that goes on in a state that it must not have."""
+
+    async def fail(call: exchange.Call, caller: exchange.Caller) -> outcome.Outcome:
+        raise errors.InvariantError("impossible")
+
+    listener = build_front()
+    listener.handle = fail
+    with pytest.raises(ExceptionGroup) as raised:
+        await exchange_bytes(listener, GOOD)
+    assert raised.value.subgroup(errors.InvariantError)
+
+
 async def test_connections_are_bounded(autojump_clock: trio.testing.MockClock) -> None:
     """Guards against callers that open more connections than the node can handle."""
     listener = build_front(max_connections=1)
--- a/tests/request/test_origin.py
+++ b/tests/request/test_origin.py
@@ -357,3 +357,12 @@
     entry = build_origin(0.0)
     assert not reachability.receive_end(entry.node, f"{reachability.ENDING_PATH}unknown")
     assert not entry.node.target_views
+
+
+async def test_aborted_requests_share_the_retry_budget() -> None:
+    """Guards against aborting more requests at a node that seems lost than can be sent again."""
+    entry = build_origin(1.0)
+    call = build_call(is_repeatable=True)
+    first, second = (origin.Attempts(tried=[NAMES[0]]) for _ in range(2))
+    claims = [origin._claim_repeat(entry, call, attempts) for attempts in (first, second, first)]
+    assert claims == [True, False, True]
