--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -42,6 +42,8 @@
 # End of the node's lease in milliseconds of CLOCK_BOOTTIME, which the node shares with its target.
 GRANT_UNTIL_HEADER = b"ebonyvalve-grant-until-ms"
 HEADER_PREFIX = b"ebonyvalve-"
+# For callers that a stopping node refuses.
+RETRY_AFTER = (b"retry-after", b"1")
 
 Handle = collections.abc.Callable[
     [exchange.Call, exchange.Caller], collections.abc.Awaitable[outcome.Outcome]
@@ -59,7 +61,7 @@
     headers = [
         (b"content-type", b"text/plain; charset=utf-8"),
         (b"content-length", str(len(body)).encode()),
-        (b"retry-after", b"1"),
+        RETRY_AFTER,
         *build_outcome_headers(refusal),
     ]
     if await caller.reply(refusal.status, headers) and await caller.write(body):
@@ -519,7 +521,7 @@
 
 
 async def _reply_error(conn: wire.Wire, refusal: outcome.Outcome, text: str) -> None:
-    """Refuse an invalid request, and read for a moment what the caller still sends."""
+    """Refuse a request that can't be handled, and read for a moment what the caller still sends."""
     body = f"{text}\n".encode()
     headers = [
         (b"content-type", b"text/plain; charset=utf-8"),
@@ -527,6 +529,8 @@
         (b"connection", b"close"),
         *build_outcome_headers(refusal),
     ]
+    if refusal.reason is outcome.Reason.STOPPING:
+        headers.append(RETRY_AFTER)
     if conn.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
         head = h11.Response(status_code=refusal.status, headers=headers)
         await wire.send(conn, head, h11.Data(data=body), h11.EndOfMessage())
--- a/tests/request/test_front.py
+++ b/tests/request/test_front.py
@@ -465,6 +465,7 @@
     replies = received.split(b"HTTP/1.1 ")[1:]
     assert [reply[:3] for reply in replies] == ([b"200"] if is_kept else []) + [b"503"]
     assert b"ebonyvalve-outcome: not-run" in replies[-1]
+    assert b"retry-after: 1" in replies[-1]
     assert b"connection: close" in replies[-1].lower()
 
 
@@ -557,3 +558,20 @@
         await trio.sleep(0.1)
         assert front.is_quiet(listener, 0.25)
         nursery.cancel_scope.cancel()
+
+
+async def test_head_that_is_half_there_at_the_end_is_refused(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a connection that is closed unanswered at the end of the grace period."""
+    listener = build_front()
+    near, far = trio.testing.memory_stream_pair()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(front.serve, listener, far)
+        await near.send_all(GOOD[:20])
+        front.stop(listener)
+        await trio.sleep(0.1)
+        front.cut_off(listener)
+        reply = bytes(await near.receive_some(4096))
+        assert reply.startswith(b"HTTP/1.1 503") and b"retry-after: 1" in reply
+        nursery.cancel_scope.cancel()
