--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 on one stream for servers and clients, based on h11."""
 
+import contextlib
 import dataclasses
 import enum
 import select
@@ -19,6 +20,8 @@
 # Offset and format of ``tcpi_last_data_recv`` in ``struct tcp_info`` of Linux, in milliseconds.
 LAST_DATA_OFFSET = 52
 LAST_DATA = struct.Struct("=I")
+# Value of SO_LINGER (``struct linger``) with which close() resets the connection.
+RESET_ON_CLOSE = struct.pack("=ii", 1, 0)
 
 
 class WireFailure(enum.Enum):
@@ -32,12 +35,14 @@
     TIMEOUT = "timeout"
 
 
-@dataclasses.dataclass(kw_only=True)
+# Compared by identity, so that connections can be members of a set.
+@dataclasses.dataclass(kw_only=True, eq=False)
 class Wire:
     """One HTTP/1.1 connection.
 
     ``received_bytes`` tells a slow connection from a silent one. ``is_writing`` stays true if a
-    write is cancelled, as the peer may have received a part of it.
+    write is cancelled, as the peer may have received a part of it. ``is_head_request`` says that
+    the request that was read last asks for the head of a response only.
     """
 
     stream: trio.abc.Stream
@@ -45,6 +50,7 @@
     received_bytes: int = 0
     is_reused: bool = False
     is_writing: bool = False
+    is_head_request: bool = False
     # Events read since other tasks had a turn.
     events_since_yield: int = 0
     # One task may read a body while another sends the response; both may have to write.
@@ -91,6 +97,8 @@
         except h11.RemoteProtocolError:
             is_truncated = wire.http.their_state is h11.ERROR and wire.http.trailing_data[1]
             return result.Failure(WireFailure.CLOSED if is_truncated else WireFailure.MALFORMED)
+        if isinstance(event, h11.Request):
+            wire.is_head_request = event.method == b"HEAD"
         if event is not h11.NEED_DATA:
             return result.Success(event)  # type: ignore[arg-type]
         if wire.http.they_are_waiting_for_100_continue and not await send_continue(wire):
@@ -166,6 +174,27 @@
     return not is_readable and has_no_trailing_data(wire)
 
 
+def has_unread(wire: Wire) -> bool:
+    """Return whether a peer that is still connected has sent bytes that weren't read.
+
+    :param wire: a server side between two requests.
+    """
+    if is_closed_by_peer(wire):
+        return False
+    stream = wire.stream
+    is_readable = isinstance(stream, trio.SocketStream) and stream.socket.is_readable()
+    return is_readable or bool(wire.http.trailing_data[0])
+
+
+def is_between_requests(wire: Wire) -> bool:
+    """Return whether no byte of a request was read since the last exchange ended.
+
+    :param wire: a server side.
+    """
+    is_idle = wire.http.their_state is h11.IDLE and wire.http.our_state is h11.IDLE
+    return is_idle and has_no_trailing_data(wire)
+
+
 def has_no_trailing_data(wire: Wire) -> bool:
     """Return whether no bytes and no close follow the message that was read last.
 
@@ -198,7 +227,7 @@
 
 
 async def send(wire: Wire, *events: h11.Event) -> SendResult:
-    """Write events in one call of the stream.
+    """Write events in one call of the stream; the body of a response to HEAD is left out.
 
     The result is :attr:`WireFailure.CLOSED` if the connection is closed or an earlier write was
     cancelled, and :attr:`WireFailure.MALFORMED` if an event is not allowed in the connection's
@@ -218,7 +247,11 @@
                 return result.Failure(WireFailure.CLOSED)
             # The last check for a cancellation before h11 counts the message as begun.
             await trio.lowlevel.checkpoint_if_cancelled()
-            parts = [wire.http.send(event) for event in events]
+            parts = [
+                wire.http.send(event)
+                for event in events
+                if not (wire.is_head_request and isinstance(event, h11.Data))
+            ]
             data = b"".join(part for part in parts if part)
             if data:
                 wire.is_writing = True
@@ -334,12 +367,42 @@
     return not is_closed
 
 
+async def drain(wire: Wire) -> None:
+    """Announce the close of the connection, and discard what the peer sends until it closes too.
+
+    A close with unread bytes resets the connection, and the peer may lose a reply that it has not
+    read yet. The caller bounds the time.
+
+    :param wire: a server side that has sent its last reply.
+    """
+    stream = wire.stream
+    try:
+        if isinstance(stream, trio.abc.HalfCloseableStream):
+            await stream.send_eof()
+        while await stream.receive_some(READ_BYTES):
+            pass
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        # The peer has closed the connection already.
+        return
+
+
 async def close(wire: Wire) -> None:
     """Close the connection at once, without completing a message that is being sent.
 
+    The connection of an incomplete response to HTTP/1.0 is reset: the response may be framed by the
+    end of the connection only, so that the client would take an orderly close for its end.
+
     :param wire: the connection.
     """
-    await trio.aclose_forcefully(wire.stream)
+    stream = wire.stream
+    http = wire.http
+    is_incomplete = http.our_state is h11.SEND_BODY or wire.is_writing
+    is_old = (http.their_http_version or b"1.1") < b"1.1"
+    if is_incomplete and is_old and isinstance(stream, trio.SocketStream):
+        with contextlib.suppress(OSError):
+            # The socket may be closed already.
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    await trio.aclose_forcefully(stream)
 
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -45,10 +45,17 @@
 # The platform probes once a second and removes a node after two failures; until then requests may
 # still arrive.
 UNREADY_S = 2.3
-# The part of the grace period that is kept for the exit of the process.
+# The part of the grace period that is kept for the last answers and the exit of the process.
 EXIT_MARGIN_S = 0.5
+# The part of that margin in which the last answers are written.
+LAST_ANSWERS_S = 0.25
 SWEEP_INTERVAL_S = 0.25
 DRAIN_POLL_INTERVAL_S = 0.02
+# The process ends early only if no request has arrived for this long, since one that is on its way
+# would be lost.
+QUIET_S = 0.25
+# Other nodes send nothing for ``selection.ENDING_PAUSE_S`` after each announcement.
+ANNOUNCE_END_INTERVAL_S = 0.7
 MAX_CONNECTIONS = 2000
 # Limits of a message from another node, which itself gives up sooner.
 MAX_PUSH_BYTES = 1_048_576
@@ -181,9 +188,12 @@
         peers=pool.Pool(connect=sockets.connect, now=now, max_connections=512),
         current=traffic.CurrentTraffic(),
     )
+    serve_caller = functools.partial(handle_caller, entry)
+    serve_peer = functools.partial(handle_peer, entry, reconciler)
     callers = front.Front(
         now=now,
-        handle=functools.partial(handle_caller, entry),
+        handle=serve_caller,
+        refuse=serve_caller,
         find_limits=functools.partial(find_limits, entry.current),
         is_hop=False,
         parse=dialect.build_parse(now),
@@ -193,7 +203,8 @@
     )
     peers = front.Front(
         now=now,
-        handle=functools.partial(handle_peer, entry, reconciler),
+        handle=serve_peer,
+        refuse=serve_peer,
         find_limits=functools.partial(find_limits, entry.current),
         is_hop=True,
         parse=dialect.build_parse(now),
@@ -267,6 +278,9 @@
     """
     if call.path.startswith(reachability.PING_PATH):
         return await acknowledge(caller, reachability.answer_ping(entry.node, call.path))
+    if call.path.startswith(reachability.ENDING_PATH):
+        is_known = reachability.receive_end(entry.node, call.path)
+        return await acknowledge(caller, 204 if is_known else 404)
     if call.path.startswith(gossip.GOSSIP_PATH):
         update = gossip.encode_update(entry.node, call.path)
         return await acknowledge(caller, 400 if update is None else 200, update or b"")
@@ -403,20 +417,50 @@
 
     The target keeps running and can only be reached through this node, so it gets requests until
     callers have moved to other nodes. After that, new requests are refused and those in flight are
-    completed within the grace period.
+    completed within the grace period. What is left at its end gets an answer of this node.
 
     :param daemon: the daemon.
     """
     grace_s = daemon.node.place.grace_s - EXIT_MARGIN_S
     daemon.node.is_stopping = True
+    front.drain(daemon.callers)
     with trio.move_on_after(grace_s):
         await node_module.pause(daemon.node, UNREADY_S)
         daemon.node.is_ending = True
         front.stop(daemon.callers)
-        poll_ticks = timer.subscribe(daemon.timer, period_s=DRAIN_POLL_INTERVAL_S)
-        while daemon.callers.active_requests or daemon.peers.active_requests:
-            await timer.tick(daemon.timer, poll_ticks)
-    delivery.lift_shields(daemon.origin.delivery)
+        front.stop(daemon.peers)
+        delivery.refuse_waiting(daemon.origin.delivery)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(announce_end, daemon)
+            await wait_until_quiet(daemon)
+            nursery.cancel_scope.cancel()
+        return
+    origin.cut_off(daemon.origin)
+    front.cut_off(daemon.callers)
+    front.cut_off(daemon.peers)
+    with trio.move_on_after(LAST_ANSWERS_S):
+        await wait_until_quiet(daemon)
+
+
+async def announce_end(daemon: Daemon) -> None:
+    """Tell the other nodes periodically that this process is about to end, until cancelled.
+
+    :param daemon: the daemon.
+    """
+    ticks = timer.subscribe(daemon.timer, period_s=ANNOUNCE_END_INTERVAL_S)
+    while True:
+        await reachability.announce_end(daemon.watch)
+        await timer.tick(daemon.timer, ticks)
+
+
+async def wait_until_quiet(daemon: Daemon) -> None:
+    """Wait until no request is in any phase and none has arrived for ``QUIET_S``.
+
+    :param daemon: a daemon that refuses new requests.
+    """
+    poll_ticks = timer.subscribe(daemon.timer, period_s=DRAIN_POLL_INTERVAL_S)
+    while not (front.is_quiet(daemon.callers, QUIET_S) and front.is_quiet(daemon.peers, QUIET_S)):
+        await timer.tick(daemon.timer, poll_ticks)
 
 
 if __name__ == "__main__":
--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -4,19 +4,16 @@
 import contextlib
 import dataclasses
 import enum
-import logging
 
 import trio
 
 from ebonyvalve.connection import pool, wire
-from ebonyvalve.process import decision, decoding, identity, timer
+from ebonyvalve.process import decoding, identity, timer
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant, ledger
 from ebonyvalve.process.load import admission, lag, rates
 from ebonyvalve.request import attempt, correlation, crash, dispatch, exchange, outcome
 
-log = logging.getLogger(__name__)
-
 # Stands for all requests without a key in the request rates by key slot.
 UNKEYED = -1
 # Weight of a refused request in the request rates. Callers that are refused retry, mostly twice.
@@ -72,7 +69,7 @@
     """State shared by the requests at this node's target.
 
     ``waiters`` maps the tickets of queued requests to the events that wake them; ``expired`` holds
-    those that were woken because they can no longer meet their deadline.
+    those that were woken because they can no longer run in time.
     """
 
     node: node_module.Node
@@ -150,6 +147,8 @@
     if admitted.verdict is admission.Verdict.WAIT and not await _wait_in_queue(
         delivery, admitted.ticket
     ):
+        if node.is_ending:
+            return _refuse_stopping()
         return Completion(
             result=outcome.refuse(outcome.Reason.DEADLINE), retry_after_s=node.admission.work_s
         )
@@ -189,9 +188,7 @@
     if call.service != node.place.service:
         return Completion(result=outcome.refuse(outcome.Reason.MOVED))
     if node.is_ending:
-        return Completion(
-            result=outcome.refuse(outcome.Reason.STOPPING), retry_after_s=RESTARTING_RETRY_S
-        )
+        return _refuse_stopping()
     if not node_module.is_open(node):
         # A leaving target serves its keys until they have been handed over.
         until = node.closed_at + node.place.drain_s - HANDOVER_MARGIN_S
@@ -203,6 +200,8 @@
     if rules.key_slot is None:
         return None
     while True:
+        if node.is_ending:
+            return _refuse_stopping()
         key_refusal = _find_key_refusal(node, rules.key_slot)
         if key_refusal is None:
             return None
@@ -219,6 +218,12 @@
             return key_refusal
 
 
+def _refuse_stopping() -> Completion:
+    return Completion(
+        result=outcome.refuse(outcome.Reason.STOPPING), retry_after_s=RESTARTING_RETRY_S
+    )
+
+
 def predict_grant_delay(node: node_module.Node) -> float:
     """Return the seconds until the target may have the keys that are being moved to it.
 
@@ -295,6 +300,19 @@
             event.set()
 
 
+def refuse_waiting(delivery: Delivery) -> None:
+    """Refuse the requests that wait for admission or for a key, once the node is ending.
+
+    :param delivery: the state shared by the target's requests.
+    """
+    for ticket, event in delivery.waiters.items():
+        if not event.is_set():
+            admission.withdraw(delivery.node.admission, ticket)
+            delivery.expired.add(ticket)
+            event.set()
+    node_module.notify_changed(delivery.node)
+
+
 async def run_queue(delivery: Delivery) -> None:
     """Check the queue periodically, and measure the lag of the event loop, until cancelled.
 
@@ -321,9 +339,7 @@
 
     def filter_reply(status: int, headers: exchange.Headers) -> exchange.Headers | None:
         reply_kind[0] = dialect.classify_reply(status, headers)
-        if not correlation.is_reply_to_last(
-            attempt_result.attempt.reply_correlation, is_first=attempt_result.attempt.is_first
-        ):
+        if not attempt.is_reply_to_last(attempt_result.attempt):
             reply_kind[0] = ReplyKind.UNTRUSTED
         if reply_kind[0] is not ReplyKind.ANSWER:
             return None
@@ -341,6 +357,7 @@
         address=node.place.target_address,
         extra_headers=dialect.build_headers(call, target.lifetime, remaining_s),
         filter_reply=filter_reply,
+        is_repeatable=call.rules is not None and call.rules.is_repeatable,
         p99_s=attempt.TYPICAL_P99_S,
         correlate=lambda headers: dialect.correlate(headers, call.request_id),
     )
@@ -355,7 +372,7 @@
         return Completion(result=outcome.refuse(outcome.Reason.NO_TARGET), retry_after_s=0.3)
     if attempt_result.attempt.step is dispatch.Step.WITHHELD:
         if reply_kind[0] is ReplyKind.UNTRUSTED:
-            _record_untrusted(call, attempt_result.attempt)
+            attempt.record_untrusted(call, attempt_result.attempt)
         return _conclude_withheld(node, reply_kind[0])
     completion = attempt.conclude(attempt_result)
     if (
@@ -394,19 +411,6 @@
         scope.shield = False
 
 
-def _record_untrusted(call: exchange.Call, finished: dispatch.Attempt) -> None:
-    """Log a reply that cannot be shown to be the target's own reply to this request."""
-    decision.record(
-        log,
-        logging.INFO,
-        "answer-spoiled",
-        id=call.request_id,
-        status=finished.status,
-        names=finished.reply_correlation,
-        first=finished.is_first,
-    )
-
-
 def _conclude_withheld(node: node_module.Node, reply_kind: ReplyKind) -> Completion:
     """Return the completion of a request whose reply was not passed on to the caller."""
     if reply_kind is ReplyKind.UNTRUSTED:
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -29,6 +29,9 @@
 PREFIX_TIMEOUT_S = 10.0
 PREFIX_BYTES = 4096
 
+# States of a server whose reply hasn't been written to its end.
+INCOMPLETE_STATES = frozenset({h11.SEND_RESPONSE, h11.SEND_BODY, h11.ERROR})
+
 TOKEN_HEADER = b"ebonyvalve-token"
 DEADLINE_HEADER = b"ebonyvalve-deadline-ms"
 REQUEST_ID_HEADER = b"ebonyvalve-request-id"
@@ -58,6 +61,24 @@
     head_s: float = HEAD_TIMEOUT_S
 
 
+async def refuse_stopping(_: exchange.Call, caller: exchange.Caller) -> outcome.Outcome:
+    """Reply that the node stops and that the request has not run.
+
+    :param caller: receives the reply.
+    """
+    refusal = outcome.refuse(outcome.Reason.STOPPING)
+    body = f"{refusal.verdict.value}: {refusal.reason.value}\n".encode()
+    headers = [
+        (b"content-type", b"text/plain; charset=utf-8"),
+        (b"content-length", str(len(body)).encode()),
+        (b"retry-after", b"1"),
+        *build_outcome_headers(refusal),
+    ]
+    if await caller.reply(refusal.status, headers) and await caller.write(body):
+        await caller.finish()
+    return refusal
+
+
 @dataclasses.dataclass(kw_only=True)
 class Front:
     """The state and settings of one listener.
@@ -68,6 +89,11 @@
     :func:`parse_call`. ``read_timeouts`` returns the time-outs of connections, which may change.
     With ``coalesces_head`` the head of a reply is sent together with the first part of its body,
     which saves a write.
+
+    While ``is_stopping``, answers say that the connection closes after them. While ``is_refusing``,
+    requests are given to ``refuse`` as soon as their head was read, also those whose body was still
+    arriving. ``refused_at_s`` is when that last happened. ``head_scopes`` holds the cancel scopes
+    of the heads that are being read by connection, ``body_scopes`` those of the bodies.
     """
 
     now: collections.abc.Callable[[], float]
@@ -78,11 +104,13 @@
     read_timeouts: collections.abc.Callable[[], Timeouts] = Timeouts
     coalesces_head: bool = False
     max_connections: int = 1000
-    connections: int = 0
-    # Requests that have been read and whose replies are not complete yet.
-    active_requests: int = 0
+    refuse: Handle = refuse_stopping
+    conns: set[wire.Wire] = dataclasses.field(default_factory=set)
     is_stopping: bool = False
-    idle_scopes: set[trio.CancelScope] = dataclasses.field(default_factory=set)
+    is_refusing: bool = False
+    refused_at_s: float = float("-inf")
+    head_scopes: dict[wire.Wire, trio.CancelScope] = dataclasses.field(default_factory=dict)
+    body_scopes: set[trio.CancelScope] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -95,7 +123,6 @@
     body_bytes: int = 0
     is_body_read: bool = False
     is_continued: bool = False
-    is_head_only: bool = False
 
 
 async def serve(front: Front, stream: trio.abc.Stream) -> None:
@@ -104,12 +131,12 @@
     :param front: the listener's state.
     :param stream: the accepted connection.
     """
-    if front.connections >= front.max_connections:
+    if len(front.conns) >= front.max_connections:
         await trio.aclose_forcefully(stream)
         decision.record(log, logging.WARNING, "connection-refused", reason="too-many-connections")
         return
-    front.connections += 1
     conn = wire.open_server(stream)
+    front.conns.add(conn)
     try:
         while await _serve_one(front, conn):
             pass
@@ -120,7 +147,8 @@
         log.exception("request-failed")
         await _reply_error(conn, outcome.unknown(outcome.Reason.CONNECTION_LOST), "internal error")
     finally:
-        front.connections -= 1
+        front.conns.discard(conn)
+        _record_unread(front, conn)
         await wire.close(conn)
 
 
@@ -131,16 +159,57 @@
     return isinstance(exc, errors.InvariantError)
 
 
-def stop(front: Front) -> None:
-    """Close idle connections; those with a request in flight close after it.
+def drain(front: Front) -> None:
+    """Ask callers to leave: every answer from now on is the last one on its connection.
 
     :param front: the listener's state.
     """
     front.is_stopping = True
-    for scope in front.idle_scopes:
+
+
+def stop(front: Front) -> None:
+    """Refuse all requests that have not been given to the handler yet.
+
+    Connections stay open, so that a request that is on its way is answered rather than lost.
+
+    :param front: the listener's state.
+    """
+    front.is_stopping = front.is_refusing = True
+    front.refused_at_s = front.now()
+    for scope in front.body_scopes:
         scope.cancel()
 
 
+def cut_off(front: Front) -> None:
+    """Refuse the requests whose head is still arriving.
+
+    :param front: the state of a listener that refuses requests.
+    """
+    for conn, scope in front.head_scopes.items():
+        if not wire.is_between_requests(conn):
+            scope.cancel()
+
+
+def is_busy(front: Front) -> bool:
+    """Return whether a connection has a request in any phase, from its first byte on.
+
+    :param front: the listener's state.
+    """
+    return not all(wire.is_between_requests(conn) for conn in front.conns)
+
+
+def is_quiet(front: Front, quiet_s: float) -> bool:
+    """Return whether no request is in any phase, and none was refused for some time.
+
+    :param front: the listener's state.
+    :param quiet_s: the time in seconds.
+    """
+    if is_busy(front) or front.now() < front.refused_at_s + quiet_s:
+        return False
+    # The check of the sockets takes a system call for each.
+    return all(wire.is_quiet(conn) for conn in front.conns)
+
+
 async def _serve_one(front: Front, conn: wire.Wire) -> bool:
     """Serve the next request of a connection; return whether it can serve another one."""
     head = await _receive_head(front, conn)
@@ -158,23 +227,65 @@
     call.arrived_at_s -= age_s
     call.deadline_at_s -= age_s
     max_body_bytes = _find_max_body(front, call)
-    incoming = Incoming(
-        conn=conn, front=front, max_body_bytes=max_body_bytes, is_head_only=call.method == "HEAD"
-    )
+    incoming = Incoming(conn=conn, front=front, max_body_bytes=max_body_bytes)
     if call.length is not None and call.length > max_body_bytes:
         reason = f"body of {call.length} bytes exceeds the limit of {max_body_bytes} bytes"
         await _reply_error(conn, outcome.refuse(outcome.Reason.BAD_REQUEST), reason)
         return False
+    try:
+        return await _answer(incoming, call)
+    finally:
+        _record_unanswered(incoming, call)
+
+
+async def _answer(incoming: Incoming, call: exchange.Call) -> bool:
+    """Answer a request whose head was read; return whether the connection can serve another one."""
+    front, conn = incoming.front, incoming.conn
     caller = build_caller(incoming)
-    if not await _buffer_prefix(call, caller):
+    is_intact = front.is_refusing or await _buffer_prefix(front, call, caller)
+    if front.is_refusing:
+        refused = await front.refuse(call, caller)
+        if refused.verdict is outcome.Verdict.NOT_RUN:
+            front.refused_at_s = front.now()
+    elif is_intact:
+        await front.handle(call, caller)
+    else:
         await _reply_error(conn, outcome.refuse(outcome.Reason.BODY_BROKEN), "body broke off")
         return False
-    front.active_requests += 1
-    try:
-        await front.handle(call, caller)
-    finally:
-        front.active_requests -= 1
-    return await _finish_exchange(front, incoming)
+    return await _finish_exchange(incoming)
+
+
+def _record_unanswered(incoming: Incoming, call: exchange.Call) -> None:
+    """Log a request whose connection this node closes before the reply is complete."""
+    conn, front = incoming.conn, incoming.front
+    is_incomplete = conn.is_writing or conn.http.our_state in INCOMPLETE_STATES
+    if not is_incomplete or wire.is_closed_by_peer(conn):
+        return
+    decision.record(
+        log,
+        logging.WARNING,
+        "unanswered",
+        id=call.request_id,
+        hop=front.is_hop,
+        begun=conn.http.our_state is not h11.SEND_RESPONSE,
+        body_read=call.is_body_buffered or incoming.is_body_read,
+        stopping=front.is_stopping,
+        took_ms=int((front.now() - call.arrived_at_s) * 1000),
+        left_ms=int((call.deadline_at_s - front.now()) * 1000),
+    )
+
+
+def _record_unread(front: Front, conn: wire.Wire) -> None:
+    """Log a connection that is closed although bytes of a further request have arrived."""
+    if conn.http.our_state is h11.IDLE and wire.has_unread(conn):
+        decision.record(
+            log,
+            logging.WARNING,
+            "request-unread",
+            hop=front.is_hop,
+            reused=conn.is_reused,
+            stopping=front.is_stopping,
+        )
 
 
 def _find_max_body(front: Front, call: exchange.Call) -> int:
@@ -191,14 +302,21 @@
     if not await _wait_while_idle(front, conn):
         return None
     # A head that has begun gets its own time, as callers may begin one until the idle time is over.
-    with trio.move_on_after(front.read_timeouts().head_s):
-        received = await wire.receive(conn)
+    with trio.move_on_after(front.read_timeouts().head_s) as scope:
+        front.head_scopes[conn] = scope
+        try:
+            received = await wire.receive(conn)
+        finally:
+            del front.head_scopes[conn]
         if isinstance(received, result.Failure):
             failure: wire.WireFailure = received.failure()
             return failure
         event = received.unwrap()
         if isinstance(event, h11.Request):
             return event
+    if front.is_refusing and not wire.is_between_requests(conn):
+        refusal = outcome.refuse(outcome.Reason.STOPPING)
+        await _reply_error(conn, refusal, "the node is stopping")
     return None
 
 
@@ -206,14 +324,9 @@
     """Wait for the next head to begin; return whether it did before the connection is to close."""
     started_at = trio.current_time()
     timeout_s = _find_wait(front, conn)
-    while not front.is_stopping:
-        with trio.move_on_at(started_at + timeout_s) as scope:
-            front.idle_scopes.add(scope)
-            try:
-                await wire.wait_for_message(conn)
-            finally:
-                front.idle_scopes.discard(scope)
-        if not scope.cancelled_caught:
+    while True:
+        with trio.move_on_at(started_at + timeout_s):
+            await wire.wait_for_message(conn)
             return True
         # Callers rely on a time-out that has become longer also for connections that are idle
         # already. One that has become shorter applies to the next idle time only.
@@ -221,7 +334,6 @@
         if current_s <= timeout_s:
             return False
         timeout_s = current_s
-    return False
 
 
 def _find_wait(front: Front, conn: wire.Wire) -> float:
@@ -284,19 +396,23 @@
     return int(wire.find_header(headers, b"content-length") or 0)
 
 
-async def _buffer_prefix(call: exchange.Call, caller: exchange.Caller) -> bool:
+async def _buffer_prefix(front: Front, call: exchange.Call, caller: exchange.Caller) -> bool:
     """Read the beginning of the body; return whether it is intact."""
-    with trio.move_on_after(PREFIX_TIMEOUT_S):
-        while len(call.prefix) < PREFIX_BYTES:
-            chunk = await caller.receive()
-            if isinstance(chunk, result.Failure):
-                return False
-            data = chunk.unwrap()
-            if not data:
-                call.is_body_buffered = True
-                return True
-            call.prefix += data
-        return True
+    with trio.move_on_after(PREFIX_TIMEOUT_S) as scope:
+        front.body_scopes.add(scope)
+        try:
+            while len(call.prefix) < PREFIX_BYTES:
+                chunk = await caller.receive()
+                if isinstance(chunk, result.Failure):
+                    return False
+                data = chunk.unwrap()
+                if not data:
+                    call.is_body_buffered = True
+                    return True
+                call.prefix += data
+            return True
+        finally:
+            front.body_scopes.discard(scope)
     return False
 
 
@@ -380,19 +496,21 @@
     return result.Failure(exchange.BodyFailure.BROKEN)
 
 
-async def _finish_exchange(front: Front, incoming: Incoming) -> bool:
+async def _finish_exchange(incoming: Incoming) -> bool:
     """Return whether the connection can serve another request."""
     conn = incoming.conn
     if conn.http.our_state is h11.DONE and not incoming.is_body_read:
-        await _linger(incoming)
-    return wire.recycle(conn) and not front.is_stopping
-
+        await _skip_body(incoming)
+    if wire.recycle(conn):
+        return True
+    if conn.http.our_state in (h11.DONE, h11.MUST_CLOSE):
+        with trio.move_on_after(LINGER_S):
+            await wire.drain(conn)
+    return False
 
-async def _linger(incoming: Incoming) -> None:
-    """Read for a short time, since closing with unread data would reset the connection.
 
-    The caller could then lose the reply that is still in flight.
-    """
+async def _skip_body(incoming: Incoming) -> None:
+    """Read the rest of the body for a short time, so that the connection can be used again."""
     with trio.move_on_after(LINGER_S):
         while True:
             chunk = await _receive_body(incoming)
@@ -413,7 +531,7 @@
         head = h11.Response(status_code=refusal.status, headers=headers)
         await wire.send(conn, head, h11.Data(data=body), h11.EndOfMessage())
         with trio.move_on_after(LINGER_S):
-            await wire.read_until_closed(conn)
+            await wire.drain(conn)
 
 
 def build_outcome_headers(result_: outcome.Outcome) -> exchange.Headers:
