Don't take a shortage of descriptors for a crash of the target

A node that has none left can't connect to its target, and would mark it as dead and give up its keys; it would also avoid every node to which it can't connect.

Cause: pool.open_new took any OSError of connect() for a refusal by the other end, EMFILE too. PoolFailure.EXHAUSTED was there and never used.

Evidence, before:

FAILED test_crash.py::test_node_without_descriptors_does_not_take_its_target_for_dead[24] FAILED ... [23], [105], [12] FAILED test_attempt.py::test_other_end_is_not_suspected_when_descriptors_are_short[error1-False]

Ruled out: accepting (trio waits and tries again) and the watch for callers that leave (wire._wait_for_hangup has the case).

Why this fixes it: errors that are about this process or VM end the attempt as "not run" and say nothing about the other end.

--- a/src/ebonyvalve/connection/pool.py
+++ b/src/ebonyvalve/connection/pool.py
@@ -4,6 +4,7 @@
 import collections.abc
 import dataclasses
 import enum
+import errno
 import itertools
 import logging
 
@@ -18,6 +19,8 @@
 CONNECT_TIMEOUT_S = 0.25
 # Each connection stores the ids of the requests refused on it; it is closed after this many.
 MAX_REFUSALS = 64
+# Errors of connect() that say nothing about the remote end: this process or VM lacks resources.
+LOCAL_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
 
 class AbortReason(enum.Enum):
@@ -28,7 +31,10 @@
 
 
 class PoolFailure(enum.Enum):
-    """Why no connection could be acquired."""
+    """Why no connection could be acquired.
+
+    ``EXHAUSTED`` means that this process or its VM has no descriptors or memory left for one.
+    """
 
     REFUSED = "refused"
     TIMEOUT = "timeout"
@@ -145,8 +151,9 @@
     try:
         with trio.move_on_after(CONNECT_TIMEOUT_S):
             pooled.conn = wire.open_client(await pool.connect(address))
-    except (OSError, trio.BrokenResourceError):
-        failure = PoolFailure.REFUSED
+    except (OSError, trio.BrokenResourceError) as exc:
+        is_local = isinstance(exc, OSError) and exc.errno in LOCAL_ERRORS
+        failure = PoolFailure.EXHAUSTED if is_local else PoolFailure.REFUSED
     finally:
         if pooled.conn is None:
             _remove(pool, address, pooled)
--- a/src/ebonyvalve/request/attempt.py
+++ b/src/ebonyvalve/request/attempt.py
@@ -181,7 +181,9 @@
         dispatch.Step.SEND_FAILED,
         dispatch.Step.LOST_BEFORE_REPLY,
     )
-    return attempt_result.failure is not None or (is_broken and not attempt_result.is_timed_out)
+    if attempt_result.failure is not None:
+        return attempt_result.failure is not pool.PoolFailure.EXHAUSTED
+    return is_broken and not attempt_result.is_timed_out
 
 
 def conclude(attempt_result: AttemptResult) -> exchange.Completion:
--- a/tests/request/test_attempt.py
+++ b/tests/request/test_attempt.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import errno
 import logging
 
 import pytest
@@ -103,3 +104,28 @@
         await theirs.receive_some(1)
     assert scope.cancelled_caught
     assert opened == [ADDRESS]
+
+
+@pytest.mark.parametrize(
+    ("error", "suggests_loss"),
+    [(ConnectionRefusedError(), True), (OSError(errno.EMFILE, "no descriptors"), False)],
+)
+async def test_other_end_is_not_suspected_when_descriptors_are_short(
+    error: OSError, suggests_loss: bool
+) -> None:
+    """Guards against avoiding all nodes while this one has no descriptors left."""
+
+    async def connect(_: str) -> trio.abc.Stream:
+        raise error
+
+    context = attempt.AttemptContext(
+        pool=pool.Pool(connect=connect, now=trio.current_time),
+        address=ADDRESS,
+        extra_headers=[],
+        filter_reply=lambda status, headers: headers,
+    )
+    call = test_origin.build_call(is_repeatable=False)
+    attempt_result = attempt.AttemptResult()
+    await attempt.run(context, call, test_origin.NO_CALLER, trio.current_time, attempt_result)
+    assert attempt.suggests_peer_loss(attempt_result) is suggests_loss
+    assert attempt.conclude(attempt_result).result.verdict is outcome.Verdict.NOT_RUN
--- a/tests/request/test_crash.py
+++ b/tests/request/test_crash.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import errno
 
 import pytest
 import trio
@@ -21,13 +22,14 @@
 
     is_up: bool = True
     opened: int = 0
+    error: OSError = dataclasses.field(default_factory=ConnectionRefusedError)
 
 
 def build_watch(nursery: trio.Nursery, target: Target) -> crash.Detector:
     async def connect(_: str) -> trio.abc.Stream:
         target.opened += 1
         if not target.is_up:
-            raise ConnectionRefusedError
+            raise target.error
         ours, _ = trio.testing.memory_stream_pair()
         return ours
 
@@ -73,6 +75,18 @@
     assert detector.quarantine.crashes.keys() == {crash.fingerprint(build_call("/a"))}
 
 
+@pytest.mark.parametrize("code", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM])
+async def test_node_without_descriptors_does_not_take_its_target_for_dead(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock, code: int
+) -> None:
+    """Guards against a node that is short of descriptors and gives up the keys of its target."""
+    target = Target(is_up=False, error=OSError(code, ""))
+    detector = build_watch(nursery, target)
+    crash.record_broken_request(detector, build_call("/a"))
+    await trio.sleep(2 * crash.CONFIRM_DELAY_S)
+    assert detector.node.target is not None and not detector.node.target.is_dead
+
+
 async def test_broken_replies_are_not_taken_for_a_crash(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
