Test requests and answers without end at every reader

The limits of single answers of targets had tests; these add, in tables, with a mock clock and lockstep streams:

- answers of other nodes, with the limits of those of targets;
- requests to the servers for reports, probes and operators;
- answers of the store.

All of them pass on: each reader has a limit in bytes, and in time where bytes come slowly. Chunk framing of a request's body counts for the time only; no bytes of it are kept. Pings, pushes and the pull of operator rows use http.fetch, which has its table already.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,6 @@
 """Tests of the store's client against the stand-in, by HTTP over memory streams."""
 
+import contextlib
 import dataclasses
 import functools
 
@@ -357,3 +358,45 @@
     client = store.Client(address="10.0.0.1:1", connect=connect, now=trio.current_time)
     outcome = await store.open_store(client).commit({name_row("a"): 0}, {name_row("a"): b"one"})
     assert outcome is table.Failure.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ("first", "unit", "max_bytes"),
+    [
+        (b"", b"a", http.MAX_HEAD_BYTES),
+        (b"HTTP/1.1 200 OK\r\n", b"x: a\r\n", http.MAX_HEAD_BYTES),
+        (b"", b"HTTP/1.1 103 Hints\r\n\r\n", http.MAX_HEAD_BYTES),
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"[", http.MAX_BODY_BYTES),
+    ],
+)
+async def test_endless_answer_is_read_to_a_limit(
+    nursery: trio.Nursery,
+    autojump_clock: trio.testing.MockClock,
+    first: bytes,
+    unit: bytes,
+    max_bytes: int,
+) -> None:
+    """Guards against an endless answer of the store that fills the memory."""
+    sent = 0
+
+    async def serve(stream: trio.abc.Stream) -> None:
+        nonlocal sent
+        data = unit * (http.READ_BYTES // len(unit))
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.receive_some(http.READ_BYTES)
+            await stream.send_all(first)
+            while True:
+                await trio.sleep(0.001)
+                await stream.send_all(data)
+                sent += len(data)
+
+    async def connect(_: str) -> trio.abc.Stream:
+        ours, theirs = trio.testing.lockstep_stream_pair()
+        nursery.start_soon(serve, theirs)
+        return ours
+
+    client = store.Client(address="10.0.0.1:1", connect=connect, now=trio.current_time)
+    with trio.fail_after(store.CALL_TIMEOUT_S):
+        assert await store.open_store(client).read(TABLE) is table.Failure.UNKNOWN
+    assert sent <= max_bytes + 2 * http.READ_BYTES
+    assert not client.idle
--- a/tests/process/test_http.py
+++ b/tests/process/test_http.py
@@ -1,6 +1,7 @@
 """Tests of HTTP messages against peers that send without end."""
 
 import collections.abc
+import functools
 
 import h11
 import pytest
@@ -19,6 +20,8 @@
 
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+POST = b"POST / HTTP/1.1\r\nHost: x\r\n"
+LONG = b"Content-Length: 99999999999\r\n\r\n"
 HINT = b"HTTP/1.1 103 Early Hints\r\n\r\n"
 
 
@@ -95,6 +98,52 @@
     assert trio.current_time() - started_at <= TIMEOUT_S
 
 
+async def refuse(_: http.Request) -> http.Reply | None:
+    return http.Reply(status=404)
+
+
+@pytest.mark.parametrize(
+    ("first", "unit", "pause_s", "most_bytes", "most_s"),
+    [
+        (b"", b"a", FLOOD_PAUSE_S, http.MAX_HEAD_BYTES, 1.0),
+        (POST, b"X-A: a\r\n", FLOOD_PAUSE_S, http.MAX_HEAD_BYTES, 1.0),
+        (POST + b"X-A: a", b"\r\n a", FLOOD_PAUSE_S, http.MAX_HEAD_BYTES, 1.0),
+        (POST + CHUNKED, b"8000\r\n" + b"a" * 0x8000 + b"\r\n", FLOOD_PAUSE_S, MAX_BODY_BYTES, 1.0),
+        (POST + CHUNKED, b"1;%s\r\na\r\n" % (b"a" * 8_000), FLOOD_PAUSE_S, 2 * MAX_BODY_BYTES, 1.0),
+        (POST + CHUNKED + b"0\r\n", b"X-A: a\r\n", FLOOD_PAUSE_S, http.MAX_HEAD_BYTES, 1.0),
+        (POST + LONG, b"a", FLOOD_PAUSE_S, MAX_BODY_BYTES, 1.0),
+        (POST, b"X-A: a\r\n", 1.0, http.MAX_HEAD_BYTES, http.IDLE_TIMEOUT_S),
+        (POST + LONG, b"a", TRICKLE_PAUSE_S, MAX_BODY_BYTES, http.IDLE_TIMEOUT_S),
+        (POST + CHUNKED, b"1\r\na\r\n", TRICKLE_PAUSE_S, MAX_BODY_BYTES, http.IDLE_TIMEOUT_S),
+    ],
+)
+async def test_endless_request_is_read_to_a_limit(
+    nursery: trio.Nursery,
+    autojump_clock: trio.testing.MockClock,
+    first: bytes,
+    unit: bytes,
+    pause_s: float,
+    most_bytes: int,
+    most_s: float,
+) -> None:
+    """Guards against an endless report, probe or request of an operator that fills the memory."""
+    client_side, server_side = trio.testing.lockstep_stream_pair()
+    nursery.start_soon(functools.partial(http.serve, refuse, server_side, max_bytes=MAX_BODY_BYTES))
+    nursery.start_soon(client_side.receive_some, http.READ_BYTES)
+    is_flood = pause_s == FLOOD_PAUSE_S
+    data = unit * max(1, http.READ_BYTES // len(unit)) if is_flood else unit
+    sent = 0
+    started_at = trio.current_time()
+    with pytest.raises(trio.BrokenResourceError):
+        await client_side.send_all(first)
+        while trio.current_time() - started_at <= most_s + 1.0:
+            await trio.sleep(pause_s)
+            await client_side.send_all(data)
+            sent += len(data)
+    assert trio.current_time() - started_at <= most_s + 2 * pause_s
+    assert sent <= most_bytes + SLACK_BYTES
+
+
 async def test_tiny_pieces_let_other_tasks_run() -> None:
     """Guards against a read with thousands of chunks that blocks the event loop."""
     client_side, server_side = trio.testing.memory_stream_pair()
--- a/tests/request/test_endless.py
+++ b/tests/request/test_endless.py
@@ -231,6 +231,17 @@
     assert max(max_pieces, pieces) <= 2 * wire.MAX_EVENTS_BEFORE_YIELD
 
 
+async def forward(target: Target) -> delivery.Completion:
+    """Forward a non-idempotent request to a node that answers as the target does."""
+    entry = test_refusals.build_entry(test_refusals.Target(nursery=target.nursery))
+    entry.peers = pool.Pool(connect=target.connect, now=trio.current_time)
+    name = identity.NodeId("other")
+    entry.node.members[name] = test_refusals.build_member(entry, "other")
+    view = node_module.read_view(entry.node, name)
+    call = test_refusals.build_order("r1")
+    return await origin._forward(entry, call, test_refusals.build_caller(), name, view)
+
+
 @pytest.mark.parametrize("unit", [CHUNK, TINY_CHUNK])
 async def test_endless_refusal_of_a_node_is_read_to_a_limit(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock, unit: bytes
@@ -238,16 +249,40 @@
     """Guards against connections between nodes without the limits of those to targets."""
     first = b"HTTP/1.1 503 No\r\nEbonyvalve-Refused: not-run:queue-full\r\n" + CHUNKED
     target = Target(first=first, unit=fill(unit), pause_s=FLOOD_PAUSE_S, nursery=nursery)
-    entry = test_refusals.build_entry(test_refusals.Target(nursery=nursery))
-    entry.peers = pool.Pool(connect=target.connect, now=trio.current_time)
-    name = identity.NodeId("other")
-    entry.node.members[name] = test_refusals.build_member(entry, "other")
-    view = node_module.read_view(entry.node, name)
-    call = test_refusals.build_order("r1")
     started_at = trio.current_time()
-    completion = await origin._forward(entry, call, test_refusals.build_caller(), name, view)
+    completion = await forward(target)
     assert completion.result == outcome.refuse(outcome.Reason.QUEUE_FULL)
     assert trio.current_time() - started_at <= SKIP_S + SLACK_S
     assert target.sent <= STRAY_BYTES + SLACK_BYTES
     with trio.fail_after(DEADLINE_S):
         await target.is_closed.wait()
+
+
+@pytest.mark.parametrize(
+    ("first", "unit", "max_bytes"),
+    [
+        (b"", b"a", HEAD_BYTES),
+        (OK, b"X-A: a\r\n", HEAD_BYTES),
+        (OK + b"X-A: a", b"\r\n a", HEAD_BYTES),
+        (b"", EARLY_HINTS, STRAY_BYTES),
+        (b"", b"HTTP/1.1 103 Hints\r\nX-A: %s\r\n\r\n" % (b"a" * 30_000), STRAY_BYTES),
+        (OK + CHUNKED, CHUNK, STREAM_BYTES),
+        (OK + b"\r\n", b"a", STREAM_BYTES),
+        (OK + CHUNKED + b"1;", b"a", HEAD_BYTES),
+        (OK + CHUNKED + b"0\r\n", b"X-A: a\r\n", HEAD_BYTES),
+    ],
+)
+async def test_endless_answer_of_a_node_is_read_to_a_limit(
+    nursery: trio.Nursery,
+    autojump_clock: trio.testing.MockClock,
+    first: bytes,
+    unit: bytes,
+    max_bytes: int,
+) -> None:
+    """Guards against connections between nodes without the limits of those to targets."""
+    target = Target(first=first, unit=fill(unit), pause_s=FLOOD_PAUSE_S, nursery=nursery)
+    completion = await forward(target)
+    assert completion.result.verdict is LOST
+    with trio.fail_after(DEADLINE_S):
+        await target.is_closed.wait()
+    assert target.sent <= max_bytes + SLACK_BYTES
