Bound the bodies of announcements and of requests of operators

Evidence: the new test, before:

FAILED test_endless_body_is_read_to_a_limit[build_server0] FAILED test_endless_body_is_read_to_a_limit[build_server1] Failed: DID NOT RAISE BrokenResourceError

Ruled out: the other servers of http.serve. The stand-in of the platform (process/remote.py) takes objects of up to 64 MiB on 256 connections and is no part of a node.

Why this fixes it: each server states its limit, 64 KiB for announcements and 1 KiB for operators, whose requests need no body.

--- a/src/ebonyvalve/process/daemon.py
+++ b/src/ebonyvalve/process/daemon.py
@@ -23,7 +23,6 @@
     assignment,
     decision,
     handover,
-    http,
     identity,
     lease,
     limit,
@@ -370,9 +369,7 @@
             "the ownership state is not set; build the node with assemble()"
         )
     cfg, environment = node.cfg, node.environment
-    serve_announcements = functools.partial(
-        http.serve, functools.partial(monitor.respond, node.monitor)
-    )
+    serve_announcements = monitor.build_server(node.monitor)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(timer.run, node.timer)
         nursery.start_soon(_sweep_pools, node)
@@ -382,12 +379,8 @@
             environment.serve_control, functools.partial(ownership.handle, owned), cfg.peer_address
         )
         nursery.start_soon(environment.listen, cfg.announce_address, serve_announcements)
-        respond_to_operators = functools.partial(operator.respond, _build_sources(node, owned))
-        nursery.start_soon(
-            environment.listen_private,
-            cfg.operator_address,
-            functools.partial(http.serve, respond_to_operators),
-        )
+        serve_operators = operator.build_server(_build_sources(node, owned))
+        nursery.start_soon(environment.listen_private, cfg.operator_address, serve_operators)
         serve_hops = functools.partial(front.serve, node.hop_front)
         nursery.start_soon(environment.listen_private, cfg.hop_address, serve_hops)
         serve_callers = functools.partial(front.serve, node.caller_front)
--- a/src/ebonyvalve/process/monitor.py
+++ b/src/ebonyvalve/process/monitor.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import functools
 import logging
 
 import msgspec
@@ -26,6 +27,7 @@
 HEALTH_PATH = "/health"
 # The body of a probe's answer is read but not used; only the status counts.
 MAX_PROBE_BYTES = 65_536
+MAX_ANNOUNCEMENT_BYTES = 65_536
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -72,6 +74,16 @@
         await here.started.wait()
 
 
+def build_server(monitor: Monitor) -> network.Serve:
+    """Return the server that receives the announcements of targets.
+
+    :param monitor: the monitor's dependencies.
+    """
+    return functools.partial(
+        http.serve, functools.partial(respond, monitor), max_bytes=MAX_ANNOUNCEMENT_BYTES
+    )
+
+
 async def respond(monitor: Monitor, request: http.Request) -> http.Reply:
     """Answer the announcement of a target.
 
--- a/src/ebonyvalve/process/operator.py
+++ b/src/ebonyvalve/process/operator.py
@@ -2,13 +2,16 @@
 
 import collections.abc
 import dataclasses
+import functools
 import urllib.parse
 
 import msgspec
 
-from ebonyvalve.process import http, identity, report
+from ebonyvalve.process import http, identity, network, report
 
 TEXT = "text/plain; charset=utf-8"
+# The requests of operators need no body.
+MAX_REQUEST_BYTES = 1024
 METRICS_TEXT = "text/plain; version=0.0.4; charset=utf-8"
 
 
@@ -28,6 +31,16 @@
     render_metrics: collections.abc.Callable[[], bytes]
 
 
+def build_server(sources: Sources) -> network.Serve:
+    """Return the server of the operator port.
+
+    :param sources: what the port shows.
+    """
+    return functools.partial(
+        http.serve, functools.partial(respond, sources), max_bytes=MAX_REQUEST_BYTES
+    )
+
+
 async def respond(sources: Sources, request: http.Request) -> http.Reply:
     """Answer one request of an operator or of a monitoring system.
 
--- a/tests/process/test_odd_input.py
+++ b/tests/process/test_odd_input.py
@@ -1,9 +1,13 @@
 """Invalid input to the product's own interface, which used to end the process that read it."""
 
+import collections.abc
+
 import msgspec
 import pytest
+import trio
+import trio.testing
 
-from ebonyvalve.process import cell, message, monitor, platform
+from ebonyvalve.process import cell, http, message, monitor, network, operator, platform
 from ebonyvalve.version import publish
 from tests.process.keyspace import test_records
 
@@ -56,3 +60,26 @@
 def test_invalid_entry_of_the_history_is_a_failure() -> None:
     """An invalid entry ended the command that was publishing a configuration."""
     assert publish._parse_entry("config/1", b'{"x":' + DEEP + b"}").failure()
+
+
+@pytest.mark.parametrize("build", [monitor.build_server, operator.build_server])
+async def test_endless_body_is_read_to_a_limit(
+    nursery: trio.Nursery,
+    autojump_clock: trio.testing.MockClock,
+    build: collections.abc.Callable[[object], network.Serve],
+) -> None:
+    """Guards against bodies without end that fill the memory of a node.
+
+    The servers for announcements and operators read up to 32 MiB on each connection.
+    """
+    client_side, server_side = trio.testing.lockstep_stream_pair()
+    nursery.start_soon(build(None), server_side)
+    nursery.start_soon(client_side.receive_some, http.READ_BYTES)
+    sent = 0
+    with pytest.raises(trio.BrokenResourceError):
+        await client_side.send_all(b"PUT /announce HTTP/1.1\r\nHost: x\r\n")
+        await client_side.send_all(b"Content-Length: 99999999999\r\n\r\n")
+        while sent < http.MAX_BODY_BYTES:
+            await client_side.send_all(b"a" * http.READ_BYTES)
+            sent += http.READ_BYTES
+    assert sent <= http.MAX_HEAD_BYTES + 2 * monitor.MAX_ANNOUNCEMENT_BYTES + http.READ_BYTES
