Free the buffered beginning of a reply when it is passed on

A long reply to a caller that reads slowly kept the bytes that the caller had got already: at least 64 KiB, and up to 128 KiB, until its end.

Cause: buffer_reply kept the parts after it had joined and sent them.

Evidence: the new test, before, for a short and a long reply:

FAILED test_bytes_that_were_passed_on_are_not_kept[1000] FAILED test_bytes_that_were_passed_on_are_not_kept[65536]

Ruled out: growth beside a fast target. A caller that doesn't read blocks the write, and with it reading from the target (a row of test_memory).

Why this fixes it: the parts are dropped before they are written. An attempt that is cancelled in that write and retried begins with empty parts anyway.

--- a/src/ebonyvalve/request/buffering.py
+++ b/src/ebonyvalve/request/buffering.py
@@ -25,9 +25,10 @@
     async def begin() -> bool:
         is_streamed[0] = True
         status, headers = head[0]
+        body = b"".join(parts)
+        parts.clear()
         if not await caller.reply(status, headers):
             return False
-        body = b"".join(parts)
         return not body or await caller.write(body)
 
     async def reply(status: int, headers: exchange.Headers) -> bool:
