Quarantine a target's requests for a refused probe, not for a late one

Callers of the product's own interface got 403 "quarantined" for lookups at a target that was only busy, and for 60 s at all nodes for every later request with the same fingerprint.

Cause: two missed probes (0.2 s, or a health page that isn't 200) were taken for the death of the target, and every request in flight for a possible cause. The lookup in flight was cancelled, tried again, and refused because it was itself in quarantine. Only a refused connection proves a crash on the same VM; the target's next announcement under a new incarnation does too. Missed probes still mark the target as down.

Evidence, before, one lookup at a target that misses two probes and is up again: test_missed_probes_quarantine_nothing AssertionError: assert 403 == 200

What this gives up: a request that freezes its target without ending it is no longer quarantined by missed probes, and an idempotent one is tried again, within its attempts and the retry budget. design.md promises the quarantine for a target that dies.

--- a/src/ebonyvalve/process/monitor.py
+++ b/src/ebonyvalve/process/monitor.py
@@ -52,8 +52,13 @@
         now_s = here.now()
         if not target.is_probe_due(here.target, here.in_flight[here.node], now_s):
             continue
-        is_answered = await _probe(monitor)
+        fetched = await _probe(monitor)
+        is_answered = isinstance(fetched, result.Success) and fetched.unwrap().status == 200
         if target.record_probe(here.target, is_answered, here.now()):
+            # On the same VM a refused connection proves a crash. A target that answers late, or
+            # reports that it is not well, may go on with its requests.
+            if fetched == result.Failure(http.HttpFailure.UNREACHABLE):
+                site.record_crash(here, here.now())
             _apply_state_change(here)
 
 
@@ -123,22 +128,21 @@
     _apply_state_change(here)
 
 
-async def _probe(monitor: Monitor) -> bool:
+async def _probe(monitor: Monitor) -> result.Result[http.Reply, http.HttpFailure]:
     address = monitor.here.target.address
     if address is None:
-        return False
+        return result.Failure(http.HttpFailure.UNREACHABLE)
     # The probe carries the grant end, so that a request that takes longer than a lease can still be
     # applied.
     grant_header = ("ebonyvalve-grant-until-ms", str(site.update_grant_end_ms(monitor.here)))
     request = http.Request(method="GET", path=HEALTH_PATH, headers=(grant_header,))
-    fetched = await http.fetch(
+    return await http.fetch(
         monitor.connect,
         address,
         request,
         timeout_s=target.PROBE_TIMEOUT_S,
         max_bytes=MAX_PROBE_BYTES,
     )
-    return isinstance(fetched, result.Success) and fetched.unwrap().status == 200
 
 
 def _apply_state_change(here: site.Site) -> None:
@@ -149,7 +153,6 @@
         site.wake_admitted(here, limit.resume(here.admission, now_s))
     else:
         limit.pause(here.admission)
-        site.record_crash(here, now_s)
         site.cancel_flights(here)
     decision.record(
         log,
--- a/tests/request/test_local.py
+++ b/tests/request/test_local.py
@@ -190,17 +190,39 @@
         handover.cancel_requests(here, list(here.flights))
         return
 
-    async def refuse(_: str) -> trio.abc.Stream:
-        raise OSError
+    async def hang(_: str) -> trio.abc.Stream:
+        await trio.sleep_forever()
+        raise AssertionError
 
     clock = timer.Timer(clock=trio.current_time)
-    probes = monitor.Monitor(here=here, timer=clock, connect=refuse, drop_idle=trio.sleep)
+    probes = monitor.Monitor(here=here, timer=clock, connect=hang, drop_idle=trio.sleep)
     nursery.start_soon(timer.run, clock)
     nursery.start_soon(monitor.run, probes)
     while target.is_up(here.target):
         await here.changed.wait()
 
 
+async def test_missed_probes_quarantine_nothing(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against refusing requests at all nodes because a busy target missed two probes."""
+    async with trio.open_nursery() as nursery:
+        world = test_handler.build_world(nursery)
+        here = world.sites[test_handler.HERE]
+        world.target.service_time_s = 0.9
+
+        async with trio.open_nursery() as callers:
+            callers.start_soon(look_up, world)
+            await trio.sleep(0.1)
+            await suspect(nursery, here, Suspicion.PROBES_MISSED)
+            world.target.service_time_s = 0.01
+            entry = target.Announcement(
+                address=test_handler.TARGET, incarnation=here.target.incarnation
+            )
+            assert not target.announce(here.target, entry, here.now())
+            limit.resume(here.admission, here.now())
+            site.notify(here)
+        nursery.cancel_scope.cancel()
+
+
 async def answer_in_two_parts(stream: trio.abc.Stream) -> None:
     await http.receive_message(stream, h11.Connection(h11.SERVER))
     await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\na")
