Refuse requests in a stop even if its grace ends while callers are still served

Callers saw: a request that was whole, or whose body was arriving, got neither an answer nor a refusal when the process ended.

Cause: the refusal of requests was part of the block that the grace period bounds. When that ended while callers were still served (a grace period of less than 2.8 s, or a process that was paused for the rest of it), front.stop, is_ending and refuse_waiting were skipped: requests were taken and sent on until the process ended.

Ruled out: cut_off, which ended the requests in flight with 502 or 503, but not those whose body was arriving.

The refusal now comes between the two waits, whatever ended the first.

--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -426,16 +426,14 @@
 
     :param daemon: the daemon.
     """
-    grace_s = daemon.node.place.grace_s - EXIT_MARGIN_S
+    ends_at = trio.current_time() + daemon.node.place.grace_s - EXIT_MARGIN_S
     daemon.node.is_stopping = True
     front.drain(daemon.callers)
-    with trio.move_on_after(grace_s):
+    with trio.move_on_at(ends_at):
         await node_module.pause(daemon.node, UNREADY_S)
-        daemon.node.is_ending = True
-        front.stop(daemon.callers)
-        front.stop(daemon.peers)
-        decision.record(log, logging.INFO, "refusing", requests=len(daemon.origin.scopes))
-        delivery.refuse_waiting(daemon.origin.delivery)
+    # Also if the grace period is over by now: it may be short, or the process was paused.
+    refuse_requests(daemon)
+    with trio.move_on_at(ends_at):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(announce_end, daemon)
             await wait_until_quiet(daemon)
@@ -449,6 +447,18 @@
         await wait_until_quiet(daemon)
 
 
+def refuse_requests(daemon: Daemon) -> None:
+    """Refuse requests from now on, and those that are arriving or waiting.
+
+    :param daemon: a daemon whose process is about to end.
+    """
+    daemon.node.is_ending = True
+    front.stop(daemon.callers)
+    front.stop(daemon.peers)
+    decision.record(log, logging.INFO, "refusing", requests=len(daemon.origin.scopes))
+    delivery.refuse_waiting(daemon.origin.delivery)
+
+
 async def announce_end(daemon: Daemon) -> None:
     """Tell the other nodes periodically that this process is about to end, until cancelled.
 
--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import time
 
 import h11
 import pytest
@@ -252,3 +253,35 @@
             mesh.scopes[0].cancel()
             nursery.cancel_scope.cancel()
         assert set(traffic.answers.values()) <= {200, 503}
+
+
+@pytest.mark.parametrize(
+    ("grace_s", "paused_s"),
+    [
+        pytest.param(daemon.EXIT_MARGIN_S + 0.3, 0.0, id="short-grace"),
+        pytest.param(daemon.UNREADY_S + 0.7, daemon.UNREADY_S + 0.7, id="paused-process"),
+    ],
+)
+async def test_stop_refuses_requests_if_its_grace_ends_in_the_drain(
+    grace_s: float, paused_s: float
+) -> None:
+    """Guards against requests that a node leaves unanswered if its grace ends before it refuses.
+
+    The grace period may be shorter than the time for which callers are served after the signal, or
+    the process may be paused until it is over.
+    """
+    async with mesh_module.open_mesh(["orders", "lookup"]) as mesh:
+        client = await mesh_module.open_client(mesh.outbound[0])
+        await mesh_module.wait_status(client, 200, "/orders/warm")
+        stopping = mesh.daemons[0]
+        stopping.node.place = dataclasses.replace(stopping.node.place, grace_s=grace_s)
+        stream = await network.connect_tcp(mesh.outbound[0])
+        await stream.send_all(
+            f"POST /orders/x HTTP/1.1\r\nhost: {mesh_module.HOST}\r\nx-attempt-id: late\r\n"
+            "content-length: 6\r\n\r\nabc".encode()
+        )
+        # Blocks the event loop during the stop, as a process that is stopped by a signal is.
+        trio.lowlevel.current_trio_token().run_sync_soon(time.sleep, paused_s)
+        await daemon.stop(stopping)
+        mesh.scopes[0].cancel()
+        assert (await stream.receive_some(4096)).startswith(b"HTTP/1.1 503")
