Refuse malformed HEAD requests to the small servers without ending the process

Callers saw: the process ended, with the requests of all callers, after a single HEAD request with a cut, malformed or too long body to the readiness, metrics, report, announcement or operator address.

Cause: process/http.py answered a request that can't be read with the body {}. h11 allows no body in the response to HEAD and raised a LocalProtocolError, which left the listener's nursery and the process.

Evidence, on the code before: test_refused_request_does_not_end_the_process[cut-HEAD] test_refused_request_does_not_end_the_process[too-long-HEAD] test_refused_request_does_not_end_the_process[malformed-HEAD] h11.LocalProtocolError: Too much data for declared Content-Length

Ruled out: GET and CONNECT, which pass before and after.

The refusal has no body now, and says that the connection closes.

--- a/src/ebonyvalve/process/http.py
+++ b/src/ebonyvalve/process/http.py
@@ -89,7 +89,8 @@
         head, body = await receive_message(stream, protocol, max_bytes=max_bytes)
     except h11.RemoteProtocolError as exc:
         if protocol.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            await _send(stream, protocol, Reply(status=exc.error_status_hint, body=b"{}"))
+            # Without a body, as the method may be HEAD.
+            await _send(stream, protocol, Reply(status=exc.error_status_hint), is_last=True)
         return False
     if not isinstance(head, h11.Request):
         return False
--- a/tests/process/test_http.py
+++ b/tests/process/test_http.py
@@ -144,6 +144,25 @@
     assert sent <= most_bytes + SLACK_BYTES
 
 
+@pytest.mark.parametrize("method", [b"HEAD", b"CONNECT", b"GET"])
+@pytest.mark.parametrize(
+    "rest",
+    [
+        pytest.param(b"Content-Length: 9\r\n\r\na", id="cut"),
+        pytest.param(b"Content-Length: 99\r\n\r\n" + b"a" * 99, id="too-long"),
+        pytest.param(CHUNKED + b"zz\r\n", id="malformed"),
+    ],
+)
+async def test_refused_request_does_not_end_the_process(method: bytes, rest: bytes) -> None:
+    """Guards against an exception from the refusal of a HEAD request, which may have no body."""
+    client_side, server_side = trio.testing.memory_stream_pair()
+    await client_side.send_all(method + b" /x HTTP/1.1\r\nHost: x\r\n" + rest)
+    await client_side.send_eof()
+    await http.serve(refuse, server_side, max_bytes=16)
+    reply = bytes(await client_side.receive_some())
+    assert reply.startswith((b"HTTP/1.1 400", b"HTTP/1.1 413"))
+
+
 async def test_tiny_pieces_let_other_tasks_run() -> None:
     """Guards against a read with thousands of chunks that blocks the event loop."""
     client_side, server_side = trio.testing.memory_stream_pair()
