Refuse a head that follows a HEAD request on a kept connection

Callers saw: a kept connection whose last request was HEAD was closed without an answer when the next head was malformed, or was half there at the end of a stop.

Cause: the flag that leaves out the body of a response to HEAD stayed set until the next head was read. A head that is refused before that got the announced length but no body, which h11 refuses to send.

Evidence, on the code before: test_refusal_of_a_head_does_not_depend_on_the_request_before[malformed] test_refusal_of_a_head_does_not_depend_on_the_request_before[cut-at-the-end] AssertionError: b''

Ruled out: refusals of a HEAD request itself, which are tested.

The flag is now reset with the rest of the connection's state.

--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -343,6 +343,7 @@
     is_ended = wire.http.our_state is h11.DONE and wire.http.their_state is h11.DONE
     if is_ended and not wire.is_writing:
         wire.http.start_next_cycle()
+        wire.is_head_request = False
         wire.is_reused = True
         return True
     return False
--- a/tests/request/test_front.py
+++ b/tests/request/test_front.py
@@ -575,3 +575,25 @@
         reply = bytes(await near.receive_some(4096))
         assert reply.startswith(b"HTTP/1.1 503") and b"retry-after: 1" in reply
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("is_cut", [False, True], ids=["malformed", "cut-at-the-end"])
+async def test_refusal_of_a_head_does_not_depend_on_the_request_before(
+    autojump_clock: trio.testing.MockClock, is_cut: bool
+) -> None:
+    """Guards against closing unanswered: a refusal after a HEAD request was left without a body."""
+    listener = build_front()
+    near, far = trio.testing.memory_stream_pair()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(front.serve, listener, far)
+        await near.send_all(GOOD.replace(b"GET", b"HEAD", 1))
+        await trio.sleep(0.1)
+        assert bytes(await near.receive_some(4096)).startswith(b"HTTP/1.1 200")
+        await near.send_all(GOOD[:20] if is_cut else b"GET /a/b HTTP/9 x\r\n\r\n")
+        if is_cut:
+            await trio.sleep(0.1)
+            front.stop(listener)
+            front.cut_off(listener)
+        reply = bytes(await near.receive_some(4096))
+        assert reply.startswith(b"HTTP/1.1 503" if is_cut else b"HTTP/1.1 400"), reply
+        nursery.cancel_scope.cancel()
