Push ledgers of services whose names are not plain ASCII

Callers saw: at a node whose keyed service has a space or an accent in its name, the process ended with all its requests at the first change of the ledger. No site has such a name; found by reading.

Cause: the name went unquoted into the path of the pushed message. Names may be any printable text (decoding.is_name); h11 and the encoding of the path refuse it with an exception that no one catches.

Evidence, on the code before: test_ledger_of_a_service_with_any_valid_name_is_pushed UnicodeEncodeError: 'ascii' codec can't encode character '\xe9'

Ruled out: the other paths between nodes (pings, ends), which are quoted, and headers, whose values may have such bytes.

The name is quoted as in those paths; plain names stay as they were.

--- a/src/ebonyvalve/process/keyspace/records.py
+++ b/src/ebonyvalve/process/keyspace/records.py
@@ -3,6 +3,7 @@
 import dataclasses
 import functools
 import logging
+import urllib.parse
 
 from returns import result
 import trio
@@ -350,7 +351,8 @@
             reconciler.nodes_to_notify - {node.place.node},
             set(),
         )
-        path = f"{LEDGER_PATH}{node.place.service}/{versioned_ledger.version}"
+        service = urllib.parse.quote(node.place.service, safe="")
+        path = f"{LEDGER_PATH}{service}/{versioned_ledger.version}"
         await push.send(
             node, reconciler.connect, recipients, path, ledger.encode(versioned_ledger.ledger)
         )
@@ -364,7 +366,7 @@
     :param body: the ledger.
     """
     name, _, version = path.removeprefix(LEDGER_PATH).rpartition("/")
-    service = identity.ServiceId(name)
+    service = identity.ServiceId(urllib.parse.unquote(name))
     version_number = decoding.read_count(version)
     if version_number:
         row = table.Row(name=name_ledger_row(service), value=body, version=version_number)
--- a/tests/process/keyspace/test_records.py
+++ b/tests/process/keyspace/test_records.py
@@ -1,12 +1,15 @@
 """Invalid rows left in the store by other writers, which must affect nothing but themselves."""
 
+import dataclasses
+
 import hypothesis
 from hypothesis import strategies
 import msgspec
 import pytest
+import trio
 import trio.testing
 
-from ebonyvalve.process import identity, member
+from ebonyvalve.process import http, identity, member
 from ebonyvalve.process.keyspace import ledger, records
 from ebonyvalve.process.store import table
 from tests.request import test_origin
@@ -178,6 +181,41 @@
     assert SERVICE not in reconciler.node.ledgers
 
 
+async def test_ledger_of_a_service_with_any_valid_name_is_pushed(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against the end of the process: a path may not contain a space or an accent."""
+    service = identity.ServiceId("clés d'hôtel/nord")
+    sender, receiver = build_reconciler(), build_reconciler()
+    sender.node.place = dataclasses.replace(sender.node.place, service=service)
+    take(sender, build_row(f"book/{service}", {"spans": VALID_SPANS}, 6), is_whole=True)
+    other = member.Member(
+        node=identity.NodeId("other"),
+        address=identity.Address("other:1"),
+        zone=identity.ZoneId("z"),
+        service=service,
+        lifetime=identity.Lifetime("i@1"),
+        slots=1,
+        state=member.TargetState.READY,
+    )
+    sender.node.members[other.node] = other
+    sender.nodes_to_notify = {other.node}
+
+    async def respond(request: http.Request) -> http.Reply:
+        is_applied = records.apply_push(receiver, request.path, request.body)
+        return http.Reply(status=204 if is_applied else 400)
+
+    async def connect(_: str) -> trio.abc.Stream:
+        ours, theirs = trio.testing.memory_stream_pair()
+        nursery.start_soon(http.serve, respond, theirs)
+        return ours
+
+    sender.connect = connect
+    nursery.start_soon(records.push_ledger, sender)
+    await trio.sleep(1.0)
+    assert receiver.node.ledgers[service].version == 6
+
+
 TREES = strategies.recursive(
     strategies.none()
     | strategies.booleans()
