Read the reply to HEAD after a foreign reply without a body

A HEAD request whose reply came after a target's repeated reply to an earlier request ended at its time limit or with a broken connection.

Cause: for the reply after a foreign one, wire.prepare_another_response told h11 that the request was a GET, so that a body of the announced length was waited for.

Evidence: the new test, before:

FAILED test_reply_to_head_after_a_foreign_reply_has_no_body assert <Step.LOST_IN_REPLY: 'lost-in-reply'> is <Step.RELAYED: 'relayed'>

Ruled out: a false success. The reply was lost, never taken for complete, and the connection was not used again.

Why this fixes it: h11 is told the method of the request. A foreign reply that has a body itself still ends a HEAD request as lost, since how it is framed depends on a request that isn't known any more.

--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -307,20 +307,21 @@
     return False
 
 
-def prepare_another_response(wire: Wire) -> bool:
+def prepare_another_response(wire: Wire, method: str) -> bool:
     """Prepare a client side for another response to the request that it has sent.
 
     The response that was read last belonged to an earlier request. Returns whether the connection
     can still be used.
 
     :param wire: a connection whose request has been sent in full.
+    :param method: the request's method, which decides whether its response has a body.
     """
     if wire.http.our_state is not h11.DONE or wire.http.their_state is not h11.DONE:
         return False
     trailing, is_closed = wire.http.trailing_data
     http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
     # h11 accepts a response only after a request of its own; the real request was sent already.
-    http.send(h11.Request(method="GET", target="/", headers=[("host", "-")]))
+    http.send(h11.Request(method=method, target="/", headers=[("host", "-")]))
     http.send(h11.EndOfMessage())
     if trailing:
         http.receive_data(trailing)
--- a/src/ebonyvalve/request/dispatch.py
+++ b/src/ebonyvalve/request/dispatch.py
@@ -225,7 +225,7 @@
     """Receive the reply, and pass it on to the caller unless it is withheld."""
     conn = connection.conn
     assert conn is not None
-    head = await _receive_head(connection, conn, proceed, correlate)
+    head = await _receive_head(connection, conn, call.method, proceed, correlate)
     if head is None:
         return
     liveness.record_progress(connection.state, now())
@@ -258,6 +258,7 @@
 async def _receive_head(
     connection: pool.PooledConnection,
     conn: wire.Wire,
+    method: str,
     proceed: trio.Event,
     correlate: Correlate | None,
 ) -> h11.Response | None:
@@ -285,7 +286,7 @@
                 return event
             connection.must_close = True
             await _skip_answer(conn)
-            if not wire.prepare_another_response(conn):
+            if not wire.prepare_another_response(conn, method):
                 return None
             continue
         if not isinstance(event, h11.InformationalResponse):
--- a/tests/request/test_foreign.py
+++ b/tests/request/test_foreign.py
@@ -43,9 +43,14 @@
 
 
 async def ask(
-    connection: pool.PooledConnection, request_id: str, received: list[bytes]
+    connection: pool.PooledConnection,
+    request_id: str,
+    received: list[bytes],
+    *,
+    method: str = "POST",
 ) -> dispatch.Attempt:
     call = test_origin.build_call(is_repeatable=True)
+    call.method = method
     call.request_id = request_id
     call.headers = [(b"host", b"x"), (b"x-attempt-id", request_id.encode())]
 
@@ -95,6 +100,24 @@
         assert attempt.step is dispatch.Step.RELAYED
 
 
+async def test_reply_to_head_after_a_foreign_reply_has_no_body(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against waiting for the body of a reply to HEAD that follows a foreign reply."""
+    ours, theirs = trio.testing.memory_stream_pair()
+
+    async def connect(_: str) -> trio.abc.Stream:
+        return ours
+
+    state = pool.Pool(connect=connect, now=trio.current_time)
+    connection = (await pool.acquire(state, ADDRESS, p99_s=None)).unwrap()
+    await theirs.send_all(
+        build_answer("r1", b"") + build_answer("r2", b"body").removesuffix(b"body")
+    )
+    attempt = await ask(connection, "r2", [], method="HEAD")
+    assert attempt.step is dispatch.Step.RELAYED
+
+
 async def test_buffered_reply_of_a_broken_attempt_is_discarded() -> None:
     """Guards against a retry whose reply begins with the buffered part of the broken one."""
     sent: list[object] = []
