Wait for the configuration of both nodes before an answer is cut

test_broken_answer_does_not_look_complete_to_any_version failed once, in the run of tests/platform on beside load (load average 14, 8 cores):

FAILED [content-length: 100001\r\n\r\n-1.0-0] Failed: DID NOT RAISE any of (RemoteProtocolError, BrokenResourceError)

The test had waited for the second node only, and then asked the first. A first node without a configuration gives the same failure in its four cases (tried on a copy): it answers 503 no-configuration, which is complete.

The test now waits for both nodes, and requires that the cut answer was a 200, so that a refusal can't pass for it and a further failure names it.

--- a/tests/platform/test_cut.py
+++ b/tests/platform/test_cut.py
@@ -41,8 +41,10 @@
 ) -> None:
     """Guards against a cut answer that HTTP/1.0 frames by an orderly end of the connection."""
     async with mesh_module.open_mesh(["orders", "lookup"]) as mesh, trio.open_nursery() as nursery:
-        client = await mesh_module.open_client(mesh.outbound[1])
-        await mesh_module.wait_status(client, 200, "/orders/warm")
+        # Each node reads the configuration for itself.
+        for address in mesh.outbound:
+            client = await mesh_module.open_client(address)
+            await mesh_module.wait_status(client, 200, "/orders/warm")
 
         async def answer(stream: trio.abc.Stream) -> None:
             with contextlib.suppress(trio.BrokenResourceError):
@@ -62,10 +64,14 @@
         protocol = h11.Connection(h11.CLIENT)
         protocol.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
         protocol.send(h11.EndOfMessage())
+        status = 0
         with pytest.raises((h11.RemoteProtocolError, trio.BrokenResourceError)):
             while not isinstance(event := protocol.next_event(), h11.EndOfMessage):
                 if event is h11.NEED_DATA:
                     protocol.receive_data(bytes(await stream.receive_some(65_536)))
+                elif isinstance(event, h11.Response):
+                    status = event.status_code
+        assert status == 200
         nursery.cancel_scope.cancel()
 
 
