End a stopping process at the first moment without a request after 0.3 s

Cause: the quiet time since the last refusal began anew with each caller that came back, up to 0.75 s.

The quiet time was for other nodes, which are told by a message of their own. So 0.3 s of refusing are enough for that to arrive, and the state that measured the quiet time is gone. What crosses the end was not read.

--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -51,11 +51,8 @@
 LAST_ANSWERS_S = 0.25
 SWEEP_INTERVAL_S = 0.25
 DRAIN_POLL_INTERVAL_S = 0.02
-# The process ends early only if no request has arrived for this long, since one that is on its way
-# would be lost.
-QUIET_S = 0.25
-# Callers that go on sending cannot delay the end for longer than this.
-MAX_QUIET_WAIT_S = 0.75
+# Requests are refused for at least this long, so that the other nodes hear of the end before it.
+MIN_REFUSING_S = 0.3
 # Other nodes send nothing for ``selection.ENDING_PAUSE_S`` after each announcement.
 ANNOUNCE_END_INTERVAL_S = 0.7
 MAX_CONNECTIONS = 2000
@@ -438,6 +435,7 @@
         delivery.refuse_waiting(daemon.origin.delivery)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(announce_end, daemon)
+            await node_module.pause(daemon.node, MIN_REFUSING_S)
             await wait_until_quiet(daemon)
             nursery.cancel_scope.cancel()
         return
@@ -461,18 +459,13 @@
 
 
 async def wait_until_quiet(daemon: Daemon) -> None:
-    """Wait until no request is in any phase and none has arrived for ``QUIET_S``.
-
-    After ``MAX_QUIET_WAIT_S`` a moment without a request is enough.
+    """Wait for a moment in which no request is in any phase.
 
     :param daemon: a daemon that refuses new requests.
     """
-    began_at = timer.now(daemon.timer)
     poll_ticks = timer.subscribe(daemon.timer, period_s=DRAIN_POLL_INTERVAL_S)
-    quiet_s = QUIET_S
-    while not (front.is_quiet(daemon.callers, quiet_s) and front.is_quiet(daemon.peers, quiet_s)):
-        if await timer.tick(daemon.timer, poll_ticks) > began_at + MAX_QUIET_WAIT_S:
-            quiet_s = 0.0
+    while not (front.is_quiet(daemon.callers) and front.is_quiet(daemon.peers)):
+        await timer.tick(daemon.timer, poll_ticks)
 
 
 if __name__ == "__main__":
--- a/src/ebonyvalve/process/daemon.py
+++ b/src/ebonyvalve/process/daemon.py
@@ -439,7 +439,7 @@
         await timer.wait_until(node.timer, timer.now(node.timer) + LAST_REQUESTS_S)
         with trio.move_on_after(STOP_GRACE_S):
             polls = timer.subscribe(node.timer, period_s=STOP_POLL_INTERVAL_S)
-            while not all(front.is_quiet(served, 0.0) for served in fronts):
+            while not all(front.is_quiet(served) for served in fronts):
                 await timer.tick(node.timer, polls)
     finally:
         for connection in node.connections:
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -94,7 +94,7 @@
 
     While ``is_stopping``, answers say that the connection closes after them. While ``is_refusing``,
     requests are given to ``refuse`` as soon as their head was read, also those whose body was still
-    arriving. ``refused_at_s`` is when that last happened. ``head_scopes`` holds the cancel scopes
+    arriving. ``head_scopes`` holds the cancel scopes
     of the heads that are being read by connection, ``body_scopes`` those of the bodies.
     """
 
@@ -110,7 +110,6 @@
     conns: set[wire.Wire] = dataclasses.field(default_factory=set)
     is_stopping: bool = False
     is_refusing: bool = False
-    refused_at_s: float = float("-inf")
     head_scopes: dict[wire.Wire, trio.CancelScope] = dataclasses.field(default_factory=dict)
     body_scopes: set[trio.CancelScope] = dataclasses.field(default_factory=set)
 
@@ -177,7 +176,6 @@
     :param front: the listener's state.
     """
     front.is_stopping = front.is_refusing = True
-    front.refused_at_s = front.now()
     for scope in front.body_scopes:
         scope.cancel()
 
@@ -200,13 +198,12 @@
     return not all(conn.is_draining or wire.is_between_requests(conn) for conn in front.conns)
 
 
-def is_quiet(front: Front, quiet_s: float) -> bool:
-    """Return whether no request is in any phase, and none was refused for some time.
+def is_quiet(front: Front) -> bool:
+    """Return whether no request is in any phase, also not in the sockets.
 
     :param front: the listener's state.
-    :param quiet_s: the time in seconds.
     """
-    if is_busy(front) or front.now() < front.refused_at_s + quiet_s:
+    if is_busy(front):
         return False
     # The check of the sockets takes a system call for each.
     return all(conn.is_draining or wire.is_quiet(conn) for conn in front.conns)
@@ -246,9 +243,7 @@
     caller = build_caller(incoming)
     is_intact = front.is_refusing or await _buffer_prefix(front, call, caller)
     if front.is_refusing:
-        refused = await front.refuse(call, caller)
-        if refused.verdict is outcome.Verdict.NOT_RUN:
-            front.refused_at_s = front.now()
+        await front.refuse(call, caller)
     elif is_intact:
         await front.handle(call, caller)
     else:
