Log the start of a node when its signals are received

test_signals_while_stopping_do_not_end_the_process failed once beside load: the process had logged its start and nothing else, also no event=stopping within 10 s of SIGTERM. Between that line and the receiver of the signals, a signal has its default action and ends the process.

--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -105,8 +105,8 @@
     :param task_status: receives the daemon when its tasks have been started.
     """
     daemon = build(place)
-    decision.record(log, logging.INFO, "start", node=place.node, service=place.service)
     async with signals.open_receiver() as received, trio.open_nursery() as nursery:
+        decision.record(log, logging.INFO, "start", node=place.node, service=place.service)
         for task in (
             functools.partial(records.follow_mesh, daemon.reconciler),
             functools.partial(registration.announce, daemon.reconciler),
