--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -94,8 +94,8 @@
 
     While ``is_stopping``, answers say that the connection closes after them. While ``is_refusing``,
     requests are given to ``refuse`` as soon as their head was read, also those whose body was still
-    arriving. ``head_scopes`` holds the cancel scopes
-    of the heads that are being read by connection, ``body_scopes`` those of the bodies.
+    arriving. ``head_scopes`` holds the cancel scopes of the heads that are being read by
+    connection, ``body_scopes`` those of the bodies.
     """
 
     now: collections.abc.Callable[[], float]
