Bound the wait of a hop for its key like its wait in the queue

Callers saw: a repeatable request for a key that is not granted in time ended with 502, though nothing had run.

The other node aborts such a request in any case (_claim_repeat), and can't know then that it has not run.

Evidence, on the code before: test_hop_that_waits_for_its_key_is_refused_before_its_connection_counts_as_silent AssertionError: assert (9.9 - 0.0) <= (2.5 + 0.1) The abort at the other node is read in the sources, not played.

Ruled out: requests that may not be repeated, which are never aborted and wait as before, and requests that enter beside the target.

Both waits share one bound now, so that together they end before the 3 s.

--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -123,12 +123,14 @@
     :param delivery: the state shared by the target's requests.
     :param call: the request, with its rules.
     :param caller: receives the reply.
-    :param max_queue_s: a request that has been queued for this long in seconds is refused.
+    :param max_queue_s: a request that has waited for its key and in the queue for this long in
+        seconds is refused.
     """
     node = delivery.node
     rules = call.rules
     assert rules is not None
-    refusal = await _find_refusal(delivery, call, rules)
+    wait_until = node.now() + max_queue_s
+    refusal = await _find_refusal(delivery, call, rules, wait_until=wait_until)
     if refusal is not None:
         return refusal
     if crash.is_quarantined(delivery.crash_detector, call):
@@ -154,7 +156,7 @@
         )
     if admitted.verdict is admission.Verdict.WAIT:
         is_in_time = False
-        with trio.move_on_after(max_queue_s) as scope:
+        with trio.move_on_after(max(0.0, wait_until - node.now())) as scope:
             is_in_time = await _wait_in_queue(delivery, admitted.ticket)
         if not is_in_time and node.is_ending:
             return _refuse_stopping()
@@ -166,7 +168,7 @@
     slot_use = SlotUse(ticket=admitted.ticket, route=rules.route, began_at=node.now())
     try:
         # The target may have left, or its keys may have moved, while the request was queued.
-        refusal = await _find_refusal(delivery, call, rules, may_wait=False)
+        refusal = await _find_refusal(delivery, call, rules, wait_until=node.now())
         if refusal is not None:
             return refusal
         return await _attempt(delivery, call, caller, slot_use)
@@ -186,11 +188,12 @@
 
 
 async def _find_refusal(
-    delivery: Delivery, call: exchange.Call, rules: exchange.Rules, *, may_wait: bool = True
+    delivery: Delivery, call: exchange.Call, rules: exchange.Rules, *, wait_until: float
 ) -> Completion | None:
     """Return the refusal of a request that the target cannot run now, or ``None`` if it can.
 
-    With ``may_wait`` a request waits for its key if the key can be granted before the deadline.
+    A request waits for its key until ``wait_until``, in seconds on the node's clock, if the key can
+    be granted before the deadline.
     """
     node = delivery.node
     target = node.target
@@ -216,14 +219,15 @@
         key_refusal = _find_key_refusal(node, rules.key_slot)
         if key_refusal is None:
             return None
-        if key_refusal.result.reason is not outcome.Reason.LEASE_LAPSED or not may_wait:
+        is_waiting = node.now() < wait_until
+        if key_refusal.result.reason is not outcome.Reason.LEASE_LAPSED or not is_waiting:
             return key_refusal
         remaining_s = call.deadline_at_s - node.now() - node.admission.work_s
         grant_delay_s = predict_grant_delay(node)
         if grant_delay_s > remaining_s:
             key_refusal.retry_after_s = grant_delay_s
             return key_refusal
-        with trio.move_on_after(max(0.0, remaining_s)) as scope:
+        with trio.move_on_after(max(0.0, min(remaining_s, wait_until - node.now()))) as scope:
             await node.changed.wait()
         if scope.cancelled_caught:
             return key_refusal
--- a/tests/request/test_delivery.py
+++ b/tests/request/test_delivery.py
@@ -140,6 +140,23 @@
     assert 1.0 < trio.current_time() - started_at < 2.0
 
 
+async def test_hop_that_waits_for_its_key_is_refused_before_its_connection_counts_as_silent(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a request without its key that the other node aborts and reports as unknown.
+
+    The wait for the key and the wait in the queue together are bounded.
+    """
+    state = build_delivery()
+    started_at = trio.current_time()
+    call = build_call(10.0)
+    completion = await delivery.run(
+        state, call, test_origin.NO_CALLER, max_queue_s=origin.MAX_HOP_QUEUE_S
+    )
+    assert trio.current_time() - started_at <= origin.MAX_HOP_QUEUE_S + 0.1
+    assert completion.result == outcome.refuse(outcome.Reason.LEASE_LAPSED)
+
+
 async def test_target_gets_the_remaining_time_as_budget(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
