Keep an exception in one message from ending the process

What callers would see: an exception while a node answers a report, a readiness probe, the metrics or an operator ended the process, and all requests on it ended with closed connections.

Evidence: the new test, without the change: KeyError('report') leaves http.serve.

Why it works: the exception is logged with its traceback and ends its connection only. A violated invariant still ends the process; both listeners decide that by one function.

--- a/src/ebonyvalve/errors.py
+++ b/src/ebonyvalve/errors.py
@@ -14,3 +14,13 @@
 
 class SettingsError(EbonyvalveError):
     """The settings of the daemon or the tool cannot be used."""
+
+
+def is_invariant_violated(exc: Exception) -> bool:
+    """Return whether an exception, or one of a group, means that the process must stop.
+
+    :param exc: the exception.
+    """
+    if isinstance(exc, ExceptionGroup):
+        return exc.subgroup(InvariantError) is not None
+    return isinstance(exc, InvariantError)
--- a/src/ebonyvalve/process/http.py
+++ b/src/ebonyvalve/process/http.py
@@ -13,6 +13,7 @@
 from returns import result
 import trio
 
+from ebonyvalve import errors
 from ebonyvalve.process import network
 
 log = logging.getLogger(__name__)
@@ -78,6 +79,11 @@
             return
     except (trio.BrokenResourceError, trio.ClosedResourceError):
         return
+    except Exception as exc:
+        if errors.is_invariant_violated(exc):
+            raise
+        # A bug that one request meets must not end the process and the requests of all callers.
+        log.exception("request-failed")
     finally:
         await trio.aclose_forcefully(stream)
 
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -142,7 +142,7 @@
         while await _serve_one(front, conn):
             pass
     except Exception as exc:
-        if _is_invariant_violated(exc):
+        if errors.is_invariant_violated(exc):
             raise
         # A bug that one request meets must not end the requests of all other callers.
         log.exception("request-failed")
@@ -153,13 +153,6 @@
         await wire.close(conn)
 
 
-def _is_invariant_violated(exc: Exception) -> bool:
-    """Return whether an exception, or one of a group, means that the process must stop."""
-    if isinstance(exc, ExceptionGroup):
-        return exc.subgroup(errors.InvariantError) is not None
-    return isinstance(exc, errors.InvariantError)
-
-
 def drain(front: Front) -> None:
     """Ask callers to leave: every answer from now on is the last one on its connection.
 
--- a/tests/process/test_http.py
+++ b/tests/process/test_http.py
@@ -9,6 +9,7 @@
 import trio
 import trio.testing
 
+from ebonyvalve import errors
 from ebonyvalve.process import http
 
 TIMEOUT_S = 1.0
@@ -184,3 +185,27 @@
         nursery.cancel_scope.cancel()
     assert len(body) == 5000
     assert checkpoints > 50
+
+
+@pytest.mark.parametrize(
+    ("exc", "is_raised"), [(KeyError("report"), False), (errors.InvariantError("broken"), True)]
+)
+async def test_exception_of_a_request_ends_its_connection_only(
+    autojump_clock: trio.testing.MockClock, exc: Exception, is_raised: bool
+) -> None:
+    """Guards against a bug in the answer to one message that ends the process.
+
+    A violated invariant still does.
+    """
+
+    async def fail(_: http.Request) -> http.Reply:
+        raise exc
+
+    near, far = trio.testing.memory_stream_pair()
+    await near.send_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+    if is_raised:
+        with pytest.raises(errors.InvariantError):
+            await http.serve(fail, far)
+    else:
+        await http.serve(fail, far)
+    assert await near.receive_some(1) == b""
