--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -425,7 +425,7 @@
     """
     ends_at = trio.current_time() + daemon.node.place.grace_s - EXIT_MARGIN_S
     daemon.node.is_stopping = True
-    front.drain(daemon.callers)
+    front.announce_close(daemon.callers)
     with trio.move_on_at(ends_at):
         await node_module.pause(daemon.node, UNREADY_S)
     # Also if the grace period is over by now: it may be short, or the process was paused.
--- a/src/ebonyvalve/process/daemon.py
+++ b/src/ebonyvalve/process/daemon.py
@@ -429,7 +429,7 @@
     if node.owned is not None:
         await ownership.leave(node.owned)
     for served in fronts:
-        front.drain(served)
+        front.announce_close(served)
     await timer.wait_until(node.timer, timer.now(node.timer) + STOP_ANNOUNCE_S)
     try:
         for connection in node.connections:
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -153,7 +153,7 @@
         await wire.close(conn)
 
 
-def drain(front: Front) -> None:
+def announce_close(front: Front) -> None:
     """Ask callers to leave: every answer from now on is the last one on its connection.
 
     :param front: the listener's state.
--- a/tests/request/test_front.py
+++ b/tests/request/test_front.py
@@ -474,7 +474,7 @@
 ) -> None:
     """Guards against kept connections that are used until the process ends."""
     listener = build_front()
-    front.drain(listener)
+    front.announce_close(listener)
     reply = await exchange_bytes(listener, GOOD)
     assert reply.startswith(b"HTTP/1.1 200") and b"connection: close" in reply.lower()
 
@@ -538,7 +538,7 @@
 
     listener = build_front()
     listener.handle = answer_early
-    front.drain(listener)
+    front.announce_close(listener)
     reply = await serve_on_sockets(listener, data)
     assert reply.startswith(b"HTTP/1.1 " + status)
 
