--- a/tests/request/test_attempt.py
+++ b/tests/request/test_attempt.py
@@ -130,6 +130,7 @@
         pool=pool.Pool(connect=connect, now=trio.current_time),
         address=ADDRESS,
         extra_headers=[],
+        is_repeatable=False,
         filter_reply=lambda status, headers: headers,
     )
     call = test_origin.build_call(is_repeatable=False)
