Give each process blocks of ports of its own

Cause: pick_addresses closes a port before its owner listens, and another process can draw the same one meanwhile; with six test workers that becomes likely.

--- a/src/ebonyvalve/process/demo.py
+++ b/src/ebonyvalve/process/demo.py
@@ -41,9 +41,18 @@
 MIN_PORT = 10_000
 MAX_PORT = 32_000
 
+# A process takes its ports from blocks that no other process uses.
+BLOCK_PORTS = 100
+# The blocks of a process leave most of the range to others.
+MAX_BLOCKS = 12
+
 # Test libraries seed the random module's own generator, with which parallel processes would draw
-# the same ports.
+# the same blocks.
 _port_rng = random.SystemRandom()
+# A block belongs to the process that has bound a datagram socket to its first port.
+_blocks: list[socket.socket] = []
+# The ports of the process's blocks, those that were picked longest ago first.
+_ports: collections.deque[int] = collections.deque()
 _picked_ports: set[int] = set()
 
 
@@ -64,18 +73,20 @@
 
 
 def pick_addresses(count: int) -> list[identity.Address]:
-    """Return loopback addresses with ports that are free now, never the same one twice.
+    """Return loopback addresses with free ports, which no other process is given.
 
     The ports lie below the range from which the kernel takes those of outgoing connections. A port
-    in that range might be taken before a process that starts slowly listens on it.
+    in that range might be taken before a process that starts slowly listens on it. A port is given
+    out again only after all others of the process.
 
     :param count: number of addresses.
     """
     picked: list[identity.Address] = []
     while len(picked) < count:
-        port = _port_rng.randrange(MIN_PORT, MAX_PORT)
-        if port in _picked_ports:
-            continue
+        if (not _ports or _ports[0] in _picked_ports) and len(_blocks) < MAX_BLOCKS:
+            _reserve_block()
+        port = _ports.popleft()
+        _ports.append(port)
         with socket.socket() as sock:
             try:
                 sock.bind(("127.0.0.1", port))
@@ -86,6 +97,21 @@
     return picked
 
 
+def _reserve_block() -> None:
+    """Add the ports of a block that no process has reserved."""
+    while True:
+        first = _port_rng.randrange(MIN_PORT, MAX_PORT, BLOCK_PORTS)
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            sock.bind(("127.0.0.1", first))
+        except OSError:
+            sock.close()
+            continue
+        _blocks.append(sock)
+        _ports.extendleft(range(first + BLOCK_PORTS - 1, first - 1, -1))
+        return
+
+
 def build_settings(index: int) -> settings.Settings:
     """Return the settings of one node of the demo.
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -6,6 +6,7 @@
 import pathlib
 import signal
 import subprocess
+import sys
 import time
 
 import pytest
@@ -155,3 +156,25 @@
     assert len(set(addresses)) == len(addresses)
     lowest = int(pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
     assert all(int(address.rpartition(":")[2]) < lowest for address in addresses)
+
+
+def test_processes_pick_different_ports() -> None:
+    """Guards against two test processes that choose the same port before either listens on it.
+
+    A node logged "Address already in use" and served nothing, in two runs beside other suites.
+    """
+    script = "from ebonyvalve.process import demo; print(*demo.pick_addresses(400)); input()"
+    processes_ = [
+        subprocess.Popen(
+            [sys.executable, "-c", script], stdin=subprocess.PIPE, stdout=subprocess.PIPE
+        )
+        for _ in range(6)
+    ]
+    picked: list[bytes] = []
+    for process in processes_:
+        assert process.stdout is not None
+        picked.extend(process.stdout.readline().split())
+    for process in processes_:
+        process.communicate(b"\n")
+    assert len(picked) == 6 * 400
+    assert len(set(picked)) == len(picked)
