Give all property tests the same profile, without limits by the real clock

The profile fixes the seed, as the other property tests do, and takes out the two checks of the machine's speed; no check of the code changes.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import pathlib
 
+import hypothesis
 import pytest
 
 # Tests of these modules start processes, or wait by the real clock for what daemons on loopback do.
@@ -24,6 +25,15 @@
 }
 ROOT = pathlib.Path(__file__).parent
 
+# Wall-clock limits of single examples fail on a busy machine, whatever the code does.
+hypothesis.settings.register_profile(
+    "project",
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=[hypothesis.HealthCheck.too_slow],
+)
+hypothesis.settings.load_profile("project")
+
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Put the tests of the listed modules into their groups."""
