Let a few nodes of each zone follow the store for the others

Cause: every node followed the members and ledgers by itself, so that each change cost a call of every node: 1.25 calls a node and second as soon as something changes every 0.8 s, which hundreds of nodes make certain.

Weighed: longer collection of changes (news as late as the mesh is large), pushes along a tree (a frozen inner node cuts off its branch unnoticed), long polls at a node of the zone. Chosen: the last. One node in 16, two a zone at least, follows the store; the others make the same long poll at one of them, so that an answer says what it is complete to. A node that the store fails, or that is about to end, refuses at once; a silent one is noticed by the end of a poll of 4 s, and then the store is asked. Zones of up to 8 nodes are as before. The operator's rows take the same way, and still travel with each request from node to node.

Tests: news and configurations with sources killed, frozen, cut off, refused by the store or not answered by it; a property test that no answer leaves a change out; calls per change.

--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -22,6 +22,7 @@
 from ebonyvalve.process.keyspace import grant, reconciliation, records, registration, renewal
 from ebonyvalve.process.load import admission, link, rates
 from ebonyvalve.process.observation import output
+from ebonyvalve.process.store import relay
 from ebonyvalve.request import (
     attempt,
     crash,
@@ -74,6 +75,7 @@
     callers: front.Front
     peers: front.Front
     client: store.Client
+    relay: relay.Relay
     watch: reachability.Monitor
     timer: timer.Timer
 
@@ -174,8 +176,18 @@
         now=now,
         on_recovery=functools.partial(node_module.restart_follows, node),
     )
+    peer_pool = pool.Pool(connect=sockets.connect, now=now, max_connections=512)
+    watch = reachability.Monitor(node=node, peers=peer_pool, connect=sockets.connect)
+    feeds = relay.Relay(
+        address=place.peers_address,
+        store=store.open_store(client),
+        connect=sockets.connect,
+        now=now,
+        pause=functools.partial(node_module.pause, node),
+        find_sources=functools.partial(find_sources, watch),
+    )
     reconciler = records.Reconciler(
-        node=node, store=store.open_store(client), connect=sockets.connect
+        node=node, store=relay.open_store(feeds), connect=sockets.connect
     )
     target_pool = pool.Pool(connect=sockets.connect, now=now)
     local = delivery.Delivery(
@@ -187,11 +199,11 @@
     entry = origin.Origin(
         node=node,
         delivery=local,
-        peers=pool.Pool(connect=sockets.connect, now=now, max_connections=512),
+        peers=peer_pool,
         current=traffic.CurrentTraffic(),
     )
     serve_caller = functools.partial(handle_caller, entry)
-    serve_peer = functools.partial(handle_peer, entry, reconciler)
+    serve_peer = functools.partial(handle_peer, entry, reconciler, feeds)
     callers = front.Front(
         now=now,
         handle=serve_caller,
@@ -220,7 +232,8 @@
         callers=callers,
         peers=peers,
         client=client,
-        watch=reachability.Monitor(node=node, peers=entry.peers, connect=sockets.connect),
+        relay=feeds,
+        watch=watch,
         timer=clock,
     )
 
@@ -241,6 +254,7 @@
 async def handle_peer(
     entry: origin.Origin,
     reconciler: records.Reconciler,
+    feeds: relay.Relay,
     call: exchange.Call,
     caller: exchange.Caller,
 ) -> outcome.Outcome:
@@ -248,12 +262,13 @@
 
     :param entry: the state.
     :param reconciler: receives the ledgers that other nodes push.
+    :param feeds: what this node has followed of the store.
     :param call: the request.
     :param caller: the other node.
     """
     # A hop has the path of the original request, which may look like that of a message.
     if not hop_headers.is_hop(call.headers):
-        handled = await handle_message(entry, reconciler, call, caller)
+        handled = await handle_message(entry, reconciler, feeds, call, caller)
         if handled is not None:
             return handled
     hop_headers.record_version(entry.node, call.headers)
@@ -268,6 +283,7 @@
 async def handle_message(
     entry: origin.Origin,
     reconciler: records.Reconciler,
+    feeds: relay.Relay,
     call: exchange.Call,
     caller: exchange.Caller,
 ) -> outcome.Outcome | None:
@@ -275,6 +291,7 @@
 
     :param entry: the state.
     :param reconciler: receives the ledgers that other nodes push.
+    :param feeds: what this node has followed of the store.
     :param call: the message.
     :param caller: the other node.
     """
@@ -286,6 +303,9 @@
     if call.path.startswith(gossip.GOSSIP_PATH):
         update = gossip.encode_update(entry.node, call.path)
         return await acknowledge(caller, 400 if update is None else 200, update or b"")
+    if call.path.startswith(relay.FEED_PATH):
+        changes = await relay.answer(feeds, call.path)
+        return await acknowledge(caller, 503 if changes is None else 200, changes or b"")
     if call.path.startswith(records.LEDGER_PATH) or call.path == crash.CRASH_PATH:
         return await handle_push(entry, reconciler, call, caller)
     return None
@@ -358,6 +378,25 @@
     return front.Timeouts(idle_s=limits.idle_timeout_s, head_s=head_s)
 
 
+def find_sources(watch: reachability.Monitor) -> list[identity.Address]:
+    """Return the addresses of the nodes of this zone that follow the store for the others.
+
+    :param watch: the reachability of the other nodes.
+    """
+    node = watch.node
+    zone = [
+        other.node
+        for other in node.members.values()
+        if other.zone == node.place.zone and other.node not in watch.unreachable
+    ]
+    names = relay.choose_sources(node.place.node, zone)
+    # A node that has not been announced yet may be among them itself.
+    return [
+        node.members[name].address if name in node.members else node.place.peers_address
+        for name in names
+    ]
+
+
 def build_ready_server(daemon: Daemon) -> network.Serve:
     """Return the server of the readiness probe and of the pages for operators.
 
@@ -453,6 +492,7 @@
     daemon.node.is_ending = True
     front.stop(daemon.callers)
     front.stop(daemon.peers)
+    relay.stop(daemon.relay)
     decision.record(log, logging.INFO, "refusing", requests=len(daemon.origin.scopes))
     delivery.refuse_waiting(daemon.origin.delivery)
 
--- a/src/ebonyvalve/platform/gossip.py
+++ b/src/ebonyvalve/platform/gossip.py
@@ -14,7 +14,7 @@
 from ebonyvalve.platform import operator
 from ebonyvalve.process import decision, decoding, http, identity, network
 from ebonyvalve.process import node as node_module
-from ebonyvalve.process.store import table
+from ebonyvalve.process.store import relay, table
 from ebonyvalve.version import traffic
 
 log = logging.getLogger(__name__)
@@ -30,15 +30,6 @@
 OK = 200
 
 
-class GossipRow(msgspec.Struct, kw_only=True, frozen=True, array_like=True):
-    """One row of the operator. It is encoded as an array, so the order of the fields matters."""
-
-    key: str
-    version: decoding.Count
-    is_removed: bool
-    value: bytes
-
-
 class GossipUpdate(msgspec.Struct, kw_only=True, frozen=True):
     """The operator's rows up to ``version``.
 
@@ -47,7 +38,7 @@
 
     version: decoding.Count
     is_whole: bool
-    rows: list[GossipRow]
+    rows: list[relay.EncodedRow]
 
 
 def encode_update(node: node_module.Node, path: str) -> bytes | None:
@@ -63,7 +54,7 @@
     # node has to find them by their absence from the full set.
     is_whole = known_version < node.operator_removals_since
     rows = [
-        GossipRow(key=row.name.key, version=row.version, is_removed=row.is_removed, value=row.value)
+        relay.encode_row(row)
         for row in node.operator_rows.values()
         if is_whole or row.version > known_version
     ]
@@ -83,15 +74,7 @@
         decision.record(log, logging.ERROR, "news-unreadable", cause=decoded.failure())
         return False
     update = decoded.unwrap()
-    rows = tuple(
-        table.Row(
-            name=table.Name(table=operator.OPERATOR_TABLE, key=row.key),
-            value=row.value,
-            version=row.version,
-            is_removed=row.is_removed,
-        )
-        for row in update.rows
-    )
+    rows = tuple(relay.decode_row(operator.OPERATOR_TABLE, row) for row in update.rows)
     received = table.Rows(rows=rows, version=update.version, clock=None)
     operator.apply(node, current, received, is_whole=update.is_whole, complete_to=update.version)
     return True
--- a/src/ebonyvalve/platform/operator.py
+++ b/src/ebonyvalve/platform/operator.py
@@ -57,9 +57,10 @@
         if isinstance(answer, table.Rows):
             apply(node, current, answer, is_whole=is_whole)
             version = max(version, answer.version)
-            node.operator_read_version = max(node.operator_read_version, version)
-            # A version beyond that of the store would hide all that are advertised after it.
-            node.advertised_version = min(node.advertised_version, version)
+            if not answer.is_relayed:
+                node.operator_read_version = max(node.operator_read_version, version)
+                # A version beyond that of the store would hide all that are advertised after it.
+                node.advertised_version = min(node.advertised_version, version)
             node.is_operator_state_known = node.config is not None
             if is_whole and not node.is_operator_state_known:
                 await node_module.pause(node, RETRY_S)
--- a/src/ebonyvalve/process/keyspace/records.py
+++ b/src/ebonyvalve/process/keyspace/records.py
@@ -82,6 +82,8 @@
     received_keys_at: dict[identity.Lifetime, float] = dataclasses.field(default_factory=dict)
     # Whether a write is waiting for members that are as new as the ledger.
     needs_members: bool = False
+    # Whether the last changes came from another node, which collects them for a while.
+    is_relayed: bool = False
     # The nodes that are affected by a ledger written here and have not been notified of it.
     nodes_to_notify: set[identity.NodeId] = dataclasses.field(default_factory=set)
     # How many times the leases have been read in search of the one of each member without a lease.
@@ -104,9 +106,11 @@
             read = await reconciler.store.read(MESH)
             is_whole = True
         else:
+            # Other nodes collect changes for a while, which a write can't wait for.
+            wait_s = 0.0 if reconciler.needs_members else FOLLOW_S
             version = reconciler.mesh_version
             read = await follow.run_interruptible(
-                functools.partial(reconciler.store.follow, MESH, version, FOLLOW_S),
+                functools.partial(reconciler.store.follow, MESH, version, wait_s),
                 reconciler.node.follow_restart.wait,
             )
             is_whole = False
@@ -114,7 +118,9 @@
                 continue
         if isinstance(read, table.Rows):
             apply_rows(reconciler, read, is_whole=is_whole)
-            await _debounce(reconciler)
+            reconciler.is_relayed = read.is_relayed
+            if not read.is_relayed:
+                await _debounce(reconciler)
             continue
         if read is table.Failure.HISTORY_GONE:
             await reload_mesh(reconciler)
@@ -146,6 +152,8 @@
     if not reconciler.needs_members:
         reconciler.needs_members = True
         node_module.notify_changed(reconciler.node)
+        if reconciler.is_relayed:
+            node_module.restart_mesh_follow(reconciler.node)
     return False
 
 
@@ -328,7 +336,9 @@
     """
     if before.spans:
         now = reconciler.node.now()
-        reconciler.received_keys_at.update(dict.fromkeys(ledger.find_receivers(before, after), now))
+        reconciler.received_keys_at.update(
+            dict.fromkeys(ledger.find_receivers(before, after), now)
+        )
 
 
 async def push_ledger(reconciler: Reconciler) -> None:
--- a/src/ebonyvalve/process/node.py
+++ b/src/ebonyvalve/process/node.py
@@ -138,11 +138,19 @@
 
     A connection on which the store has lost an answer stays silent after the store has returned.
 
+    :param node: the node.
+    """
+    restart_mesh_follow(node)
+    restart_operator_follow(node)
+
+
+def restart_mesh_follow(node: Node) -> None:
+    """Restart the pending follow of the members and ledgers.
+
     :param node: the node.
     """
     node.follow_restart.set()
     node.follow_restart = trio.Event()
-    restart_operator_follow(node)
 
 
 def restart_operator_follow(node: Node) -> None:
--- a/src/ebonyvalve/process/store/table.py
+++ b/src/ebonyvalve/process/store/table.py
@@ -45,13 +45,15 @@
 class Rows:
     """Rows as of one moment, with the newest version and a reading of the store's clock.
 
-    ``has_more`` is set if this is one page of several.
+    ``has_more`` is set if this is one page of several, ``is_relayed`` if another node has sent
+    them.
     """
 
     rows: tuple[Row, ...]
     version: int
     clock: lease.StoreClock | None
     has_more: bool = False
+    is_relayed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/process/keyspace/test_reconciliation.py
+++ b/tests/process/keyspace/test_reconciliation.py
@@ -10,6 +10,7 @@
 import trio
 import trio.testing
 
+from ebonyvalve.platform import gossip
 from ebonyvalve.platform import store as store_module
 from ebonyvalve.process import budget, http, identity, member, timer
 from ebonyvalve.process import node as node_module
@@ -23,6 +24,7 @@
     renewal,
 )
 from ebonyvalve.process.load import admission, policy, rates
+from ebonyvalve.process.store import relay
 from ebonyvalve.standin import metadata
 from tests import places
 
@@ -53,6 +55,7 @@
     address: str = ""
     scope: trio.CancelScope | None = None
     reconciler: records.Reconciler | None = None
+    feeds: relay.Relay | None = None
     target: Target | None = None
     is_frozen: bool = False
 
@@ -66,6 +69,10 @@
     # Whether nodes can reach each other. If not, they learn of changes only from the store.
     is_connected: bool = False
     pushed_to: list[str] = dataclasses.field(default_factory=list)
+    # How many long polls nodes have made at each other.
+    polls: int = 0
+    # Addresses that drop what other nodes send them.
+    cut: set[str] = dataclasses.field(default_factory=set)
     violations: list[str] = dataclasses.field(default_factory=list)
 
 
@@ -81,19 +88,31 @@
 
 
 def build_respond(world: World, address: str) -> http.Respond:
-    """Return the handler of the ledgers that other nodes push to an address."""
-    reconcilers = [
-        machine.reconciler for machine in world.machines if machine.reconciler is not None
-    ]
+    """Return the handler of the messages that other nodes send to an address."""
     matching = [
-        reconciler for reconciler in reconcilers if reconciler.node.place.peers_address == address
+        machine
+        for machine in world.machines
+        if machine.reconciler is not None and machine.reconciler.node.place.peers_address == address
     ]
     if not world.is_connected or not matching:
         raise OSError("unreachable")
 
     async def respond(request: http.Request) -> http.Reply:
+        reconciler, feeds = matching[0].reconciler, matching[0].feeds
+        if reconciler is None or feeds is None:
+            return http.Reply(status=503)
+        if request.path.startswith(relay.FEED_PATH):
+            world.polls += 1
+            changes = await relay.answer(feeds, request.path)
+            if matching[0].is_frozen or address in world.cut:
+                await trio.sleep_forever()
+            return http.Reply(status=503 if changes is None else 200, body=changes or b"")
+        if request.path.startswith(gossip.GOSSIP_PATH):
+            return http.Reply(
+                status=200, body=gossip.encode_update(reconciler.node, request.path) or b""
+            )
         world.pushed_to.append(address)
-        is_taken = records.apply_push(matching[0], request.path, request.body)
+        is_taken = records.apply_push(reconciler, request.path, request.body)
         return http.Reply(status=204 if is_taken else 400, body=b"")
 
     return respond
@@ -104,6 +123,8 @@
         if address == "store:1":
             respond = metadata.build_respond(world.state, machine.name)
         else:
+            if address in world.cut:
+                await trio.sleep_forever()
             respond = build_respond(world, address)
         ours, theirs = trio.testing.memory_stream_pair()
         world.nursery.start_soon(functools.partial(http.serve, respond, theirs))
@@ -132,7 +153,23 @@
         policies={SERVICE: POLICY},
     )
     client = store_module.Client(address="store:1", connect=connect, now=now)
-    return records.Reconciler(node=node, store=store_module.open_store(client), connect=connect)
+
+    def find_sources() -> list[identity.Address]:
+        names = relay.choose_sources(machine.name, list(node.members))
+        return [
+            node.members[name].address if name in node.members else node.place.peers_address
+            for name in names
+        ]
+
+    feeds = machine.feeds = relay.Relay(
+        address=node.place.peers_address,
+        store=store_module.open_store(client),
+        connect=connect,
+        now=now,
+        pause=functools.partial(node_module.pause, node),
+        find_sources=find_sources,
+    )
+    return records.Reconciler(node=node, store=relay.open_store(feeds), connect=connect)
 
 
 async def run_node(world: World, machine: Machine) -> None:
