--- a/src/ebonyvalve/process/keyspace/rebalancing.py
+++ b/src/ebonyvalve/process/keyspace/rebalancing.py
@@ -9,7 +9,9 @@
 import collections.abc
 import dataclasses
 
+from ebonyvalve.process import identity
 from ebonyvalve.process.keyspace import ledger
+from ebonyvalve.process.load import rates
 
 # At this load or above, a target gives keys away even if no other one is faster.
 BUSY_LOAD = 0.6
@@ -35,6 +37,11 @@
 # The expected queue grows without bound as the load approaches 1; this keeps it finite.
 MAX_OFFERED = 0.95
 BISECTION_STEPS = 12
+# The pause after a move, at both ends, until rates and loads are measured again. Without it,
+# several busy targets would all move keys to the same idle one.
+REBALANCE_PAUSE_S = 1.0
+# The shortest interval between two checks of the rates of single keys.
+RATE_CHECK_INTERVAL_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -60,6 +67,57 @@
     successor: ledger.Candidate
 
 
+@dataclasses.dataclass(kw_only=True)
+class Pacing:
+    """When keys were last moved and rates last checked, in seconds on the node's clock.
+
+    ``received_at`` is when each target last received keys from another one.
+    """
+
+    moved_at: float = float("-inf")
+    checked_at: float = float("-inf")
+    received_at: dict[identity.Lifetime, float] = dataclasses.field(default_factory=dict)
+
+
+def propose(
+    current: ledger.Ledger,
+    own: ledger.Candidate,
+    loads: collections.abc.Mapping[identity.Lifetime, Load],
+    key_rates: rates.KeyRates,
+    pacing: Pacing,
+    now: float,
+) -> list[Move]:
+    """Return the moves of keys away from a target that are due now.
+
+    :param current: the service's ledger.
+    :param own: the target.
+    :param loads: the loads of all targets that may hold keys, with the own one.
+    :param key_rates: the rates of the target's keys.
+    :param pacing: when keys were last moved; the time of this check is recorded.
+    :param now: seconds on the node's clock.
+    """
+    if now < pacing.moved_at + REBALANCE_PAUSE_S or now < pacing.checked_at + RATE_CHECK_INTERVAL_S:
+        return []
+    pacing.checked_at = now
+    unsettled = {name for name, at in pacing.received_at.items() if now < at + REBALANCE_PAUSE_S}
+    if own.lifetime in unsettled:
+        return []
+    # Other targets that are about to receive keys are passed over too. The own target does not wait
+    # for keys that move to it, because they arrive only after one or two heartbeats.
+    unsettled |= {identity.Lifetime(span.successor) for span in current.spans if span.successor}
+    own_load = loads[own.lifetime]
+    others = [
+        load for name, load in loads.items() if name != own.lifetime and name not in unsettled
+    ]
+    mean = sum(load.offered for load in loads.values()) / len(loads)
+    # Avoids sorting the rates of thousands of keys when nothing will be moved.
+    if find_successor(own_load, others, mean=mean) is None:
+        return []
+    held_spans = ledger.list_held(current, own.lifetime)
+    rates.retain(key_rates, [(span.first, span.last) for span in held_spans])
+    return find_moves(current, own_load, others, rates.read_rates(key_rates, now), mean=mean)
+
+
 def expect_answer(load: Load, offered: float) -> float:
     """Return the expected seconds to an answer of a target at a given load.
 
@@ -143,7 +201,7 @@
     current: ledger.Ledger,
     own_load: Load,
     others: collections.abc.Sequence[Load],
-    rates: collections.abc.Mapping[int, float],
+    rates_by_slot: collections.abc.Mapping[int, float],
     *,
     mean: float,
 ) -> list[Move]:
@@ -154,14 +212,14 @@
     :param current: the service's ledger.
     :param own_load: the load of the target.
     :param others: the loads of the other targets that may take keys now.
-    :param rates: requests per second by key slot of the target.
+    :param rates_by_slot: requests per second by key slot of the target.
     :param mean: the mean load of all targets.
     """
     spans = ledger.list_held(current, own_load.candidate.lifetime)
     if any(span.successor for span in spans):
         return []
     remaining = list(others)
-    used = sorted(rates.items())
+    used = sorted(rates_by_slot.items())
     segments = [_build_segment(span, used) for span in spans]
     moves: list[Move] = []
     # A target that is only slow makes one move at a time, because other slow targets do so as well.
--- a/src/ebonyvalve/process/keyspace/reconciliation.py
+++ b/src/ebonyvalve/process/keyspace/reconciliation.py
@@ -8,7 +8,6 @@
 from ebonyvalve.process import decision, decoding, identity, member
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant, lease, ledger, plan, rebalancing, records, renewal
-from ebonyvalve.process.load import rates
 from ebonyvalve.process.store import table
 
 log = logging.getLogger(__name__)
@@ -18,11 +17,6 @@
 # How long the leader waits for targets before it writes the first ledger, in addition to one
 # heartbeat: all VMs start within 0.3 s, and their targets report within a heartbeat.
 DISCOVERY_S = 1.0
-# The pause after a move, at both ends, until rates and loads are measured again. Without it,
-# several busy targets would all move keys to the same idle one.
-REBALANCE_PAUSE_S = 1.0
-# The shortest interval between two checks of the rates of single keys.
-RATE_CHECK_INTERVAL_S = 0.5
 # If the last answer of a node is older than this, the load in its lease row may be newer.
 MAX_LOAD_AGE_S = 1.5
 # The answer to a target that is about to receive keys waits this long for them to be released. The
@@ -207,7 +201,7 @@
         return False
     is_written = await _write_ledger(reconciler, name, versioned_ledger.version, rebalanced, {})
     if is_written:
-        reconciler.rebalanced_at = reconciler.node.now()
+        reconciler.pacing.moved_at = reconciler.node.now()
     return is_written
 
 
@@ -216,44 +210,18 @@
 ) -> ledger.Ledger:
     """Return the ledger with moves of keys to other targets, if the own one is too busy."""
     node = reconciler.node
-    now = node.now()
-    if observation.is_leaving or now < reconciler.rebalanced_at + REBALANCE_PAUSE_S:
-        return planned
-    if now < reconciler.rates_read_at + RATE_CHECK_INTERVAL_S:
-        return planned
-    reconciler.rates_read_at = now
     own_candidate = next(
         (candidate for candidate in observation.candidates if candidate.node == node.place.node),
         None,
     )
-    if own_candidate is None:
+    if observation.is_leaving or own_candidate is None:
         return planned
-    unsettled = {
-        name for name, at in reconciler.received_keys_at.items() if now < at + REBALANCE_PAUSE_S
-    }
-    if own_candidate.lifetime in unsettled:
-        return planned
-    # Other targets that are about to receive keys are passed over too. The own target does not wait
-    # for keys that move to it, because they arrive only after one or two heartbeats.
-    unsettled |= {identity.Lifetime(span.successor) for span in planned.spans if span.successor}
     loads = {
-        candidate.node: _estimate_load(reconciler, candidate)
+        candidate.lifetime: _estimate_load(reconciler, candidate)
         for candidate in observation.candidates
     }
-    others = [
-        load
-        for name, load in loads.items()
-        if name != node.place.node and load.candidate.lifetime not in unsettled
-    ]
-    mean = sum(load.offered for load in loads.values()) / len(loads)
-    # Avoids sorting the rates of thousands of keys when nothing will be moved.
-    if rebalancing.find_successor(loads[own_candidate.node], others, mean=mean) is None:
-        return planned
-    held_spans = ledger.list_held(planned, own_candidate.lifetime)
-    rates.retain(node.key_rates, [(span.first, span.last) for span in held_spans])
-    rates_by_slot = rates.read_rates(node.key_rates, now)
-    moves = rebalancing.find_moves(
-        planned, loads[own_candidate.node], others, rates_by_slot, mean=mean
+    moves = rebalancing.propose(
+        planned, own_candidate, loads, node.key_rates, reconciler.pacing, node.now()
     )
     for move in moves:
         planned = ledger.plan_move(planned, move.first, move.last, move.successor)
@@ -264,8 +232,8 @@
             first=move.first,
             last=move.last,
             heir=move.successor.node,
-            own_load=round(loads[own_candidate.node].offered, 3),
-            heir_load=round(loads[move.successor.node].offered, 3),
+            own_load=round(loads[own_candidate.lifetime].offered, 3),
+            heir_load=round(loads[move.successor.lifetime].offered, 3),
         )
     return planned
 
--- a/src/ebonyvalve/process/keyspace/records.py
+++ b/src/ebonyvalve/process/keyspace/records.py
@@ -10,7 +10,7 @@
 
 from ebonyvalve.process import budget, decision, decoding, identity, member, network, push
 from ebonyvalve.process import node as node_module
-from ebonyvalve.process.keyspace import lease, ledger
+from ebonyvalve.process.keyspace import lease, ledger, rebalancing
 from ebonyvalve.process.store import follow, table
 
 log = logging.getLogger(__name__)
@@ -76,10 +76,7 @@
     # When this node is to take over the keys of lost nodes; None if there are no lost nodes.
     takeover_at: float | None = None
     discovery_started_at: float | None = None
-    rebalanced_at: float = float("-inf")
-    rates_read_at: float = float("-inf")
-    # When each target last received keys from another one.
-    received_keys_at: dict[identity.Lifetime, float] = dataclasses.field(default_factory=dict)
+    pacing: rebalancing.Pacing = dataclasses.field(default_factory=rebalancing.Pacing)
     # Whether a write is waiting for members that are as new as the ledger.
     needs_members: bool = False
     # Whether the last changes came from another node, which collects them for a while.
@@ -336,7 +333,7 @@
     """
     if before.spans:
         now = reconciler.node.now()
-        reconciler.received_keys_at.update(
+        reconciler.pacing.received_at.update(
             dict.fromkeys(ledger.find_receivers(before, after), now)
         )
 
