Spread a hot range in one step over as many targets as it needs

Cause: a busy target gave keys to three others at a time, waited until the last move was done, and measured by rates that take 2 s to rise. Rates of a few requests a second also vary by a fifth and more, which targets took for imbalance and traded keys: 35 ledger writes a second in the model, all of it noise.

A rise that chance doesn't explain is now measured over 0.3 s, refused requests in full; a busy target goes down to the load that its receivers get, with up to 48 moves in one write, and goes on while others are under way; without a rise, a difference of under 3 standard deviations counts as noise. Ruled out: shorter pauses for all moves (writes 60% more, nothing gained); 2.5 and 4 deviations (no difference in what is served).

--- a/src/ebonyvalve/process/keyspace/rebalancing.py
+++ b/src/ebonyvalve/process/keyspace/rebalancing.py
@@ -8,6 +8,7 @@
 import bisect
 import collections.abc
 import dataclasses
+import math
 
 from ebonyvalve.process import identity
 from ebonyvalve.process.keyspace import ledger
@@ -31,7 +32,13 @@
 STEP_SHARE = 0.8
 # The largest share of its load that a target gives away at once because another one is faster.
 MAX_GIVEN_SHARE = 0.5
-MAX_MOVES = 3
+# A hot range is spread at once over up to this many targets.
+MAX_MOVES = 48
+# A difference of less than this many standard deviations of the measured rate is taken for noise.
+# Rates of a few requests per second vary by a fifth and more between two checks.
+MIN_DEVIATIONS = 3.0
+# A rise by this many standard deviations shows a new hot range before the usual rates do.
+MIN_SURGE_DEVIATIONS = 4.0
 # A move of less load than this, as a share of the target's capacity, is not worth its cost.
 MIN_GAIN = 0.04
 # The expected queue grows without bound as the load approaches 1; this keeps it finite.
@@ -50,12 +57,14 @@
 
     ``offered`` is the work that arrives per second divided by the work it can do per second.
     ``request_load`` is what one request per second adds to it; multiplied by the target's slots, it
-    is the work time in seconds.
+    is the work time in seconds. ``deviation`` is the standard deviation of ``offered``, known for
+    the own target only.
     """
 
     candidate: ledger.Candidate
     offered: float
     request_load: float
+    deviation: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -84,6 +93,7 @@
     own: ledger.Candidate,
     loads: collections.abc.Mapping[identity.Lifetime, Load],
     key_rates: rates.KeyRates,
+    recent_rates: rates.KeyRates,
     pacing: Pacing,
     now: float,
 ) -> list[Move]:
@@ -92,11 +102,15 @@
     :param current: the service's ledger.
     :param own: the target.
     :param loads: the loads of all targets that may hold keys, with the own one.
-    :param key_rates: the rates of the target's keys.
+    :param key_rates: the usual rates of the target's keys.
+    :param recent_rates: the rates of the last moment.
     :param pacing: when keys were last moved; the time of this check is recorded.
     :param now: seconds on the node's clock.
     """
-    if now < pacing.moved_at + REBALANCE_PAUSE_S or now < pacing.checked_at + RATE_CHECK_INTERVAL_S:
+    has_surged = _has_surged(key_rates, recent_rates, now)
+    # The rate of a new hot range still rises when its first part is moved.
+    pause_s = RATE_CHECK_INTERVAL_S if has_surged else REBALANCE_PAUSE_S
+    if now < pacing.moved_at + pause_s or now < pacing.checked_at + RATE_CHECK_INTERVAL_S:
         return []
     pacing.checked_at = now
     unsettled = {name for name, at in pacing.received_at.items() if now < at + REBALANCE_PAUSE_S}
@@ -106,6 +120,11 @@
     # for keys that move to it, because they arrive only after one or two heartbeats.
     unsettled |= {identity.Lifetime(span.successor) for span in current.spans if span.successor}
     own_load = loads[own.lifetime]
+    if has_surged:
+        key_rates = recent_rates
+        own_load = dataclasses.replace(
+            own_load, offered=rates.read_total(recent_rates, now) * own_load.request_load
+        )
     others = [
         load for name, load in loads.items() if name != own.lifetime and name not in unsettled
     ]
@@ -118,6 +137,13 @@
     return find_moves(current, own_load, others, rates.read_rates(key_rates, now), mean=mean)
 
 
+def _has_surged(key_rates: rates.KeyRates, recent_rates: rates.KeyRates, now: float) -> bool:
+    """Return whether the last moment's rate is too high for chance to explain it."""
+    usual = rates.read_total(key_rates, now)
+    deviation = math.sqrt(usual / (2.0 * recent_rates.memory_s))
+    return rates.read_total(recent_rates, now) > usual + MIN_SURGE_DEVIATIONS * deviation
+
+
 def expect_answer(load: Load, offered: float) -> float:
     """Return the expected seconds to an answer of a target at a given load.
 
@@ -140,7 +166,7 @@
     :param mean: the mean load of all targets.
     """
     if is_busy(own_load):
-        if own_load.offered < UNEVEN_RATIO * mean:
+        if not _is_uneven(own_load, mean):
             return None
         idle = [load for load in others if load.offered <= mean]
         return min(idle, key=lambda load: (load.offered, load.candidate.lifetime), default=None)
@@ -168,23 +194,24 @@
     return load.offered >= BUSY_LOAD
 
 
+def _is_uneven(own_load: Load, mean: float) -> bool:
+    """Return whether a target is busier than the mean beyond the noise of its measured rate."""
+    excess = own_load.offered - mean
+    return excess >= max((UNEVEN_RATIO - 1.0) * mean, MIN_DEVIATIONS * own_load.deviation)
+
+
 def _expect_current_answer(load: Load) -> float:
     return expect_answer(load, load.offered)
 
 
 def choose_rate(own_load: Load, successor: Load) -> float:
-    """Return how many requests per second should move to the successor.
+    """Return how many requests per second should move to a faster successor.
 
-    A busy target moves enough for both to be equally busy, another one enough for both to answer
-    equally soon.
+    It is enough for both to answer equally soon.
 
     :param own_load: the load of the target that gives keys away.
     :param successor: the load of the target that gets them.
     """
-    if is_busy(own_load):
-        return (own_load.offered - successor.offered) / (
-            own_load.request_load + successor.request_load
-        )
     # Other targets that are equally slow need part of the successor's spare capacity as well.
     low, high = 0.0, MAX_GIVEN_SHARE * own_load.offered / own_load.request_load
     for _ in range(BISECTION_STEPS):
@@ -207,7 +234,8 @@
 ) -> list[Move]:
     """Return the moves of keys away from a target.
 
-    There are none while a span of the target is still moving.
+    A busy target doesn't wait for spans that are still moving, whose load counts no longer. Others
+    do, since they move keys only to answer sooner.
 
     :param current: the service's ledger.
     :param own_load: the load of the target.
@@ -216,32 +244,94 @@
     :param mean: the mean load of all targets.
     """
     spans = ledger.list_held(current, own_load.candidate.lifetime)
-    if any(span.successor for span in spans):
-        return []
-    remaining = list(others)
     used = sorted(rates_by_slot.items())
-    segments = [_build_segment(span, used) for span in spans]
-    moves: list[Move] = []
+    segments = [_build_segment(span, used) for span in spans if not span.successor]
+    if len(segments) < len(spans):
+        kept_rate = sum(rate for segment in segments for _, rate in segment.used)
+        own_load = dataclasses.replace(
+            own_load, offered=min(own_load.offered, kept_rate * own_load.request_load)
+        )
+        if not is_busy(own_load):
+            return []
+    successor = find_successor(own_load, others, mean=mean)
+    if successor is None:
+        return []
+    if is_busy(own_load):
+        return _spread(segments, own_load, others, mean)
     # A target that is only slow makes one move at a time, because other slow targets do so as well.
-    max_moves = MAX_MOVES if is_busy(own_load) else 1
-    while len(moves) < max_moves:
-        successor = find_successor(own_load, remaining, mean=mean)
-        if successor is None:
-            break
-        cut_range = _cut_segment(segments, STEP_SHARE * choose_rate(own_load, successor))
-        if cut_range is None:
-            break
-        first, last, rate = cut_range
-        if rate * own_load.request_load < MIN_GAIN:
+    move = _cut_move(segments, own_load, successor, STEP_SHARE * choose_rate(own_load, successor))
+    return [] if move is None else [move[0]]
+
+
+def _spread(
+    segments: list["_Segment"],
+    own_load: Load,
+    others: collections.abc.Iterable[Load],
+    mean: float,
+) -> list[Move]:
+    """Return the moves that bring a busy target down to the load that its receivers get too.
+
+    A hot range may be worth the work of many targets. If it were given away in steps, each of them
+    would take two heartbeats, and the heat would be over before the last one.
+    """
+    level = _find_level(own_load, others, mean)
+    receivers = sorted(
+        (load for load in others if load.offered < level),
+        key=lambda load: (-_find_headroom(load, level), load.candidate.lifetime),
+    )
+    moves: list[Move] = []
+    for successor in receivers[:MAX_MOVES]:
+        excess_rate = (own_load.offered - level) / own_load.request_load
+        wanted_rate = min(excess_rate, _find_headroom(successor, level))
+        cut_move = _cut_move(segments, own_load, successor, wanted_rate)
+        if cut_move is None:
             break
-        moves.append(Move(first=first, last=last, successor=successor.candidate))
+        move, rate = cut_move
+        moves.append(move)
         own_load = dataclasses.replace(
             own_load, offered=max(0.0, own_load.offered - rate * own_load.request_load)
         )
-        remaining.remove(successor)
     return moves
 
 
+def _find_headroom(load: Load, level: float) -> float:
+    """Return how many requests per second a target may get until it has a given load."""
+    return (level - load.offered) / load.request_load
+
+
+def _find_level(own_load: Load, others: collections.abc.Iterable[Load], mean: float) -> float:
+    """Return the load at which a busy target and its receivers are equally busy.
+
+    Targets that do well as they are stay out of it: the level is at least the one at which a target
+    counts as busy.
+    """
+    low, high = min(own_load.offered, max(BUSY_LOAD, mean)), own_load.offered
+    loads = list(others)
+    for _ in range(BISECTION_STEPS):
+        level = (low + high) / 2
+        headrooms = sorted(
+            (_find_headroom(load, level) for load in loads if load.offered < level), reverse=True
+        )
+        if sum(headrooms[:MAX_MOVES]) < (own_load.offered - level) / own_load.request_load:
+            low = level
+        else:
+            high = level
+    return high
+
+
+def _cut_move(
+    segments: list["_Segment"], own_load: Load, successor: Load, wanted_rate: float
+) -> tuple[Move, float] | None:
+    """Cut off a move of about the wanted rate; return it with its rate, or ``None``."""
+    cut_range = _cut_segment(segments, wanted_rate)
+    if cut_range is None:
+        return None
+    first, last, rate = cut_range
+    if rate * own_load.request_load < MIN_GAIN:
+        return None
+    return Move(first=first, last=last, successor=successor.candidate), rate
+
+
 @dataclasses.dataclass(kw_only=True)
 class _Segment:
     """The rest of a span: its first and last key, and the rates of its used keys in order."""
--- a/src/ebonyvalve/process/keyspace/reconciliation.py
+++ b/src/ebonyvalve/process/keyspace/reconciliation.py
@@ -8,6 +8,7 @@
 from ebonyvalve.process import decision, decoding, identity, member
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant, lease, ledger, plan, rebalancing, records, renewal
+from ebonyvalve.process.load import rates
 from ebonyvalve.process.store import table
 
 log = logging.getLogger(__name__)
@@ -221,7 +222,13 @@
         for candidate in observation.candidates
     }
     moves = rebalancing.propose(
-        planned, own_candidate, loads, node.key_rates, reconciler.pacing, node.now()
+        planned,
+        own_candidate,
+        loads,
+        node.key_rates,
+        node.recent_rates,
+        reconciler.pacing,
+        node.now(),
     )
     for move in moves:
         planned = ledger.plan_move(planned, move.first, move.last, move.successor)
@@ -243,10 +250,12 @@
     node = reconciler.node
     if candidate.node == node.place.node:
         load_report = node_module.measure_load(node)
+        deviation = rates.find_deviation(node.key_rates, node.now())
         return rebalancing.Load(
             candidate=candidate,
             offered=load_report.offered,
             request_load=load_report.request_load,
+            deviation=deviation * load_report.request_load,
         )
     view = node_module.read_view(node, candidate.node)
     versioned_lease = node.leases.get(candidate.node)
--- a/src/ebonyvalve/process/load/rates.py
+++ b/src/ebonyvalve/process/load/rates.py
@@ -8,6 +8,8 @@
 # The time constant of the decay. Hot keys change within seconds; a shorter time would follow single
 # requests.
 MEMORY_S = 2.0
+# The time constant by which a sudden rise is measured.
+RECENT_MEMORY_S = 0.3
 # Keys with a lower rate, in requests per second, are insignificant and dropped.
 MIN_RATE = 0.02
 # Insignificant keys are dropped this often.
@@ -16,9 +18,10 @@
 
 @dataclasses.dataclass(kw_only=True)
 class KeyRates:
-    """Decayed counts by key slot, as of ``updated_at`` in seconds on the node's clock."""
+    """Counts by key slot that decay over ``memory_s``, as of ``updated_at`` on the node's clock."""
 
     updated_at: float
+    memory_s: float = MEMORY_S
     counts: dict[int, float] = dataclasses.field(default_factory=dict)
     # Counts are stored multiplied by this, so that decay takes one multiplication for all of them.
     scale: float = 1.0
@@ -47,7 +50,7 @@
     """
     _decay(key_rates, now)
     _compact(key_rates)
-    factor = 1.0 / (key_rates.scale * MEMORY_S)
+    factor = 1.0 / (key_rates.scale * key_rates.memory_s)
     return {key_slot: count * factor for key_slot, count in key_rates.counts.items()}
 
 
@@ -58,7 +61,18 @@
     :param now: seconds on the node's clock.
     """
     _decay(key_rates, now)
-    return key_rates.total / (key_rates.scale * MEMORY_S)
+    return key_rates.total / (key_rates.scale * key_rates.memory_s)
+
+
+def find_deviation(key_rates: KeyRates, now: float) -> float:
+    """Return the standard deviation of the total rate, in requests per second.
+
+    Arrivals are counted as if they were independent of each other.
+
+    :param key_rates: the state.
+    :param now: seconds on the node's clock.
+    """
+    return math.sqrt(read_total(key_rates, now) / (2.0 * key_rates.memory_s))
 
 
 def retain(key_rates: KeyRates, held_ranges: collections.abc.Sequence[tuple[int, int]]) -> None:
@@ -83,14 +97,15 @@
         return
     key_rates.updated_at = now
     # The bound on the exponent prevents an overflow after a long pause.
-    key_rates.scale *= math.exp(min(elapsed_s, 100 * MEMORY_S) / MEMORY_S)
+    memory_s = key_rates.memory_s
+    key_rates.scale *= math.exp(min(elapsed_s, 100 * memory_s) / memory_s)
     if key_rates.scale > 1e9 or now - key_rates.compacted_at > COMPACT_S:
         key_rates.compacted_at = now
         _compact(key_rates)
 
 
 def _compact(key_rates: KeyRates) -> None:
-    min_count = MIN_RATE * MEMORY_S
+    min_count = MIN_RATE * key_rates.memory_s
     key_rates.counts = {
         key_slot: count / key_rates.scale
         for key_slot, count in key_rates.counts.items()
--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -144,12 +144,15 @@
         kind=rules.route,
     )
     admitted = admission.admit(node.admission, demand, node.now())
+    key_slot = UNKEYED if rules.key_slot is None else rules.key_slot
     rates.record(
         node.key_rates,
-        UNKEYED if rules.key_slot is None else rules.key_slot,
+        key_slot,
         node.now(),
         weight=REFUSED_WEIGHT if admitted.ticket is None else 1.0,
     )
+    # Callers have not retried yet when a sudden rise is measured.
+    rates.record(node.recent_rates, key_slot, node.now())
     if admitted.ticket is None:
         return Completion(
             result=outcome.refuse(outcome.Reason.QUEUE_FULL), retry_after_s=admitted.retry_after_s
