--- a/src/ebonyvalve/process/keyspace/rebalancing.py
+++ b/src/ebonyvalve/process/keyspace/rebalancing.py
@@ -91,7 +91,7 @@
 def propose(
     current: ledger.Ledger,
     own: ledger.Candidate,
-    loads: collections.abc.Mapping[identity.Lifetime, Load],
+    measure_loads: collections.abc.Callable[[], collections.abc.Mapping[identity.Lifetime, Load]],
     key_rates: rates.KeyRates,
     recent_rates: rates.KeyRates,
     pacing: Pacing,
@@ -101,7 +101,8 @@
 
     :param current: the service's ledger.
     :param own: the target.
-    :param loads: the loads of all targets that may hold keys, with the own one.
+    :param measure_loads: returns the loads of all targets that may hold keys, with the own one. It
+        is called only when a check is due.
     :param key_rates: the usual rates of the target's keys.
     :param recent_rates: the rates of the last moment.
     :param pacing: when keys were last moved; the time of this check is recorded.
@@ -119,6 +120,7 @@
     # Other targets that are about to receive keys are passed over too. The own target does not wait
     # for keys that move to it, because they arrive only after one or two heartbeats.
     unsettled |= {identity.Lifetime(span.successor) for span in current.spans if span.successor}
+    loads = measure_loads()
     own_load = loads[own.lifetime]
     if has_surged:
         key_rates = recent_rates
--- a/src/ebonyvalve/process/keyspace/reconciliation.py
+++ b/src/ebonyvalve/process/keyspace/reconciliation.py
@@ -217,14 +217,17 @@
     )
     if observation.is_leaving or own_candidate is None:
         return planned
-    loads = {
-        candidate.lifetime: _estimate_load(reconciler, candidate)
-        for candidate in observation.candidates
-    }
+    loads: dict[identity.Lifetime, rebalancing.Load] = {}
+
+    def measure_loads() -> dict[identity.Lifetime, rebalancing.Load]:
+        for candidate in observation.candidates:
+            loads[candidate.lifetime] = _estimate_load(reconciler, candidate)
+        return loads
+
     moves = rebalancing.propose(
         planned,
         own_candidate,
-        loads,
+        measure_loads,
         node.key_rates,
         node.recent_rates,
         reconciler.pacing,
--- a/tests/process/keyspace/test_hot_keys.py
+++ b/tests/process/keyspace/test_hot_keys.py
@@ -263,7 +263,7 @@
     moves = rebalancing.propose(
         world.book,
         server.candidate,
-        loads,
+        lambda: loads,
         server.key_rates,
         server.recent_rates,
         server.pacing,
