Let nodes at rest wake up seldom

Cause: the queue of each node was checked every 0.03 s whether or not a request waited, also to measure the lag of the event loop. Now a node checks it that often only while a request waits or the loop lags, and else every 0.25 s; the first request that is queued ends the long interval. test_node_at_rest_wakes_up_seldom fails on the former code, which has no interval for nodes at rest; test_request_that_is_queued_at_rest_is_checked_soon guards the cold target whose queue opens by time alone, and was not played to its end on the former code (its timer doesn't run there).

--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -9,7 +9,7 @@
 import trio
 
 from ebonyvalve.connection import pool, wire
-from ebonyvalve.process import decoding, identity, timer
+from ebonyvalve.process import decoding, identity
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant, ledger
 from ebonyvalve.process.load import admission, lag, rates
@@ -33,6 +33,8 @@
 # The queue is checked periodically because cold targets gain capacity, and waiting requests expire,
 # as time passes.
 QUEUE_CHECK_INTERVAL_S = 0.03
+# The lag of the event loop is measured this often while nothing waits and it is small.
+LAG_CHECK_INTERVAL_S = 0.25
 
 
 class ReplyKind(enum.Enum):
@@ -70,7 +72,8 @@
     """State shared by the requests at this node's target.
 
     ``waiters`` maps the tickets of queued requests to the events that wake them; ``expired`` holds
-    those that were woken because they can no longer run in time.
+    those that were woken because they can no longer run in time. ``queued`` is set and replaced
+    when a request is queued.
     """
 
     node: node_module.Node
@@ -79,6 +82,7 @@
     crash_detector: crash.Detector
     waiters: dict[admission.Ticket, trio.Event] = dataclasses.field(default_factory=dict)
     expired: set[admission.Ticket] = dataclasses.field(default_factory=set)
+    queued: trio.Event = dataclasses.field(default_factory=trio.Event)
     # Shields of the non-idempotent requests in flight, lifted when the process ends.
     shields: set[trio.CancelScope] = dataclasses.field(default_factory=set)
 
@@ -287,6 +291,8 @@
 async def _wait_in_queue(delivery: Delivery, ticket: admission.Ticket) -> bool:
     """Wait for admission; return whether the request may run, or ``False`` if it expired."""
     event = delivery.waiters[ticket] = trio.Event()
+    delivery.queued.set()
+    delivery.queued = trio.Event()
     try:
         await event.wait()
     except trio.Cancelled:
@@ -334,15 +340,22 @@
 async def run_queue(delivery: Delivery) -> None:
     """Check the queue periodically, and measure the lag of the event loop, until cancelled.
 
+    A node at rest wakes up seldom, since a mesh has many of them.
+
     :param delivery: the state shared by the target's requests.
     """
-    ticks = timer.subscribe(delivery.node.wakeups, period_s=QUEUE_CHECK_INTERVAL_S)
+    node = delivery.node
     while True:
-        due_at = ticks.next_at
-        lag.record_wake_up(
-            delivery.node.loop_lag, await timer.tick(delivery.node.wakeups, ticks) - due_at
-        )
-        if delivery.node.admission.waiting:
+        is_busy = bool(node.admission.waiting) or lag.is_lagging(node.loop_lag)
+        interval_s = QUEUE_CHECK_INTERVAL_S if is_busy else LAG_CHECK_INTERVAL_S
+        due_at = node.now() + interval_s
+        # The first request that is queued ends the long interval.
+        interrupted = trio.Event() if is_busy else delivery.queued
+        with trio.move_on_after(interval_s) as scope:
+            await interrupted.wait()
+        if scope.cancelled_caught:
+            lag.record_wake_up(node.loop_lag, node.now() - due_at)
+        if node.admission.waiting:
             wake(delivery)
 
 
--- a/tests/request/test_delivery.py
+++ b/tests/request/test_delivery.py
@@ -270,6 +270,58 @@
     return trio.current_time() - started_at, reported[0]
 
 
+async def count_wake_ups(entry: delivery.Delivery, seconds: float) -> int:
+    """Return how often the loop of the queue reads the clock in some seconds."""
+    readings = 0
+
+    def now() -> float:
+        nonlocal readings
+        readings += 1
+        return trio.current_time()
+
+    entry.node.now = now
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(delivery.run_queue, entry)
+        await trio.sleep(seconds)
+        nursery.cancel_scope.cancel()
+    return readings
+
+
+async def test_node_at_rest_wakes_up_seldom(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a mesh of hundreds of nodes that spends its processor time on waking up.
+
+    The queue was checked 33 times a second whether or not a request waited.
+    """
+    entry = build_delivery()
+    entry.node.admission.slots = 1
+    assert await count_wake_ups(entry, 10.0) < 10.0 * 3 / delivery.LAG_CHECK_INTERVAL_S
+    demand = admission.Demand(deadline_at=trio.current_time() + 30, objective_s=9.0, priority=1)
+    for _ in range(2):
+        admission.admit(entry.node.admission, demand, trio.current_time())
+    assert await count_wake_ups(entry, 10.0) > 10.0 / delivery.QUEUE_CHECK_INTERVAL_S
+
+
+async def test_request_that_is_queued_at_rest_is_checked_soon(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a cold target whose first waiting request is started a quarter second late."""
+    entry = build_delivery()
+    entry.node.admission.slots = 1
+    demand = admission.Demand(deadline_at=trio.current_time() + 30, objective_s=9.0, priority=1)
+    running = admission.admit(entry.node.admission, demand, trio.current_time())
+    waiting = admission.admit(entry.node.admission, demand, trio.current_time())
+    assert running.ticket is not None and waiting.ticket is not None
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(delivery.run_queue, entry)
+        await trio.sleep(0.01)
+        # The slot is freed without a wake-up, as time frees it at a cold target.
+        admission.release(entry.node.admission, running.ticket, work_s=None)
+        queued_at = trio.current_time()
+        assert await delivery._wait_in_queue(entry, waiting.ticket)
+        assert trio.current_time() - queued_at <= 2 * delivery.QUEUE_CHECK_INTERVAL_S
+        nursery.cancel_scope.cancel()
+
+
 async def test_queued_hop_is_refused_before_its_connection_counts_as_silent(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
