Let slow targets take turns when they move keys to faster ones

Most were not busy: each wanted to give keys to the one fastest target, at its own pace of once a second, and 98 of them overtook each other and the few busy ones. Such a move only lets a slow target answer sooner; now the targets check for it in turn, 0.08 s apart on average, so that the writes don't grow with their number (6 targets check as often as before). A surge is checked every 0.25 s instead of 0.5 s.

--- a/src/ebonyvalve/process/keyspace/rebalancing.py
+++ b/src/ebonyvalve/process/keyspace/rebalancing.py
@@ -49,6 +49,11 @@
 REBALANCE_PAUSE_S = 1.0
 # The shortest interval between two checks of the rates of single keys.
 RATE_CHECK_INTERVAL_S = 0.5
+# The same while the rates show a new hot range.
+SURGE_CHECK_INTERVAL_S = 0.25
+# Targets that only are slower than others check in turn, this far apart on average, so that the
+# writes of the ledger don't grow with their number.
+SLOW_CHECK_INTERVAL_S = 0.08
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -80,11 +85,13 @@
 class Pacing:
     """When keys were last moved and rates last checked, in seconds on the node's clock.
 
-    ``received_at`` is when each target last received keys from another one.
+    ``slow_check_at`` is when a target that is not busy may move keys to a faster one, ``None``
+    before its first check. ``received_at`` is when each target last received keys from another one.
     """
 
     moved_at: float = float("-inf")
     checked_at: float = float("-inf")
+    slow_check_at: float | None = None
     received_at: dict[identity.Lifetime, float] = dataclasses.field(default_factory=dict)
 
 
@@ -96,6 +103,7 @@
     recent_rates: rates.KeyRates,
     pacing: Pacing,
     now: float,
+    draw: collections.abc.Callable[[], float],
 ) -> list[Move]:
     """Return the moves of keys away from a target that are due now.
 
@@ -107,11 +115,13 @@
     :param recent_rates: the rates of the last moment.
     :param pacing: when keys were last moved; the time of this check is recorded.
     :param now: seconds on the node's clock.
+    :param draw: returns random numbers from 0 to 1.
     """
     has_surged = _has_surged(key_rates, recent_rates, now)
     # The rate of a new hot range still rises when its first part is moved.
-    pause_s = RATE_CHECK_INTERVAL_S if has_surged else REBALANCE_PAUSE_S
-    if now < pacing.moved_at + pause_s or now < pacing.checked_at + RATE_CHECK_INTERVAL_S:
+    pause_s = SURGE_CHECK_INTERVAL_S if has_surged else REBALANCE_PAUSE_S
+    interval_s = SURGE_CHECK_INTERVAL_S if has_surged else RATE_CHECK_INTERVAL_S
+    if now < max(pacing.moved_at + pause_s, pacing.checked_at + interval_s):
         return []
     pacing.checked_at = now
     unsettled = {name for name, at in pacing.received_at.items() if now < at + REBALANCE_PAUSE_S}
@@ -127,6 +137,8 @@
         own_load = dataclasses.replace(
             own_load, offered=rates.read_total(recent_rates, now) * own_load.request_load
         )
+    if not is_busy(own_load) and not _is_slow_check_due(pacing, len(loads), now, draw):
+        return []
     others = [
         load for name, load in loads.items() if name != own.lifetime and name not in unsettled
     ]
@@ -139,6 +151,19 @@
     return find_moves(current, own_load, others, rates.read_rates(key_rates, now), mean=mean)
 
 
+def _is_slow_check_due(
+    pacing: Pacing, targets: int, now: float, draw: collections.abc.Callable[[], float]
+) -> bool:
+    """Return whether a target that is not busy may check now, and choose its next turn if so."""
+    interval_s = SLOW_CHECK_INTERVAL_S * targets
+    if pacing.slow_check_at is None:
+        pacing.slow_check_at = now + interval_s * draw()
+    if now < pacing.slow_check_at:
+        return False
+    pacing.slow_check_at = now + interval_s * (0.5 + draw())
+    return True
+
+
 def _has_surged(key_rates: rates.KeyRates, recent_rates: rates.KeyRates, now: float) -> bool:
     """Return whether the last moment's rate is too high for chance to explain it."""
     usual = rates.read_total(key_rates, now)
--- a/src/ebonyvalve/process/keyspace/reconciliation.py
+++ b/src/ebonyvalve/process/keyspace/reconciliation.py
@@ -224,7 +224,7 @@
         reconciler.pacing.moved_at = reconciler.node.now()
     else:
         # Nothing was moved. With many writers, the next one is overtaken too if it waits.
-        reconciler.pacing.checked_at = float("-inf")
+        reconciler.pacing.checked_at = reconciler.pacing.slow_check_at = float("-inf")
     return written is not Written.FAILED
 
 
@@ -254,6 +254,7 @@
         node.recent_rates,
         reconciler.pacing,
         node.now(),
+        node.draw,
     )
     for move in moves:
         planned = ledger.plan_move(planned, move.first, move.last, move.successor)
--- a/tests/process/keyspace/test_hot_keys.py
+++ b/tests/process/keyspace/test_hot_keys.py
@@ -268,6 +268,7 @@
         server.recent_rates,
         server.pacing,
         world.now,
+        world.rng.random,
     )
     if not moves:
         return
@@ -362,6 +363,16 @@
     assert careful.share(6, 20) > hasty.share(6, 20) - 0.02
 
 
+def test_slow_targets_take_turns() -> None:
+    """Guards against hundreds of slow targets that all write the ledger to reach the fastest one.
+
+    In a play with 98 targets, 200 writes a second were refused because another one had come before,
+    and those of the few busy targets with them.
+    """
+    result = run(build_world(heats=[], seed=3, rate=250.0), 20.0)
+    assert result.moves / (20.0 - WARM_UP_S) < 1.5 / rebalancing.SLOW_CHECK_INTERVAL_S
+
+
 if __name__ == "__main__":
     for seed in sys.argv[1:]:
         report(seed, run(build_world(heats=HEATS, seed=int(seed)), 24.0))
