--- a/tests/process/store/test_relay.py
+++ b/tests/process/store/test_relay.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 import dataclasses
+import functools
 
 import hypothesis
 from hypothesis import strategies
@@ -10,7 +11,7 @@
 import trio
 import trio.testing
 
-from ebonyvalve.process import identity, member
+from ebonyvalve.process import http, identity, member
 from ebonyvalve.process.keyspace import records
 from ebonyvalve.process.store import relay, table
 from ebonyvalve.standin import metadata
@@ -141,6 +142,47 @@
                 assert asker.rows == expected
 
 
+async def test_source_of_an_earlier_release_is_passed_over(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against a node that hears no news because its source doesn't know the polls."""
+    asked: list[str] = []
+    followed: list[int] = []
+
+    async def respond(request: http.Request) -> http.Reply:
+        asked.append(request.path)
+        return http.Reply(status=400)
+
+    async def connect(_: str) -> trio.abc.Stream:
+        ours, theirs = trio.testing.memory_stream_pair()
+        nursery.start_soon(functools.partial(http.serve, respond, theirs))
+        return ours
+
+    async def read(_: table.TableName) -> table.Failure:
+        return table.Failure.UNAVAILABLE
+
+    async def follow(_: table.TableName, after: int, wait_s: float) -> table.Rows:
+        followed.append(after)
+        await trio.sleep(wait_s)
+        return table.Rows(rows=(), version=after, clock=None)
+
+    async def commit(*_: object) -> table.Failure:
+        return table.Failure.UNAVAILABLE
+
+    feeds = relay.Relay(
+        address=identity.Address("me:1"),
+        store=table.Store(read=read, follow=follow, commit=commit),
+        connect=connect,
+        now=trio.current_time,
+        pause=trio.sleep,
+        find_sources=lambda: [identity.Address("old:1"), identity.Address("older:1")],
+    )
+    answer = await relay.open_store(feeds).follow(MESH, 7, 10.0)
+    assert isinstance(answer, table.Rows) and not answer.is_relayed
+    assert asked == [f"{relay.FEED_PATH}mesh/7/4000"] * 2
+    assert followed == [7]
+
+
 def kill(_: test_reconciliation.World, machine: test_reconciliation.Machine) -> None:
     test_reconciliation.stop_node(machine)
 
