Take only a rise for a surge, not an overload that lasts

Cause: the last moment's rate counted refused requests in full and the usual one by a third, so that a target which refuses most of what it gets counted as surging for as long as that lasted. Now both rates of a surge count alike. Slow targets take turns 0.25 s apart instead of 0.08 s. By the former rule the surge ends 7.99 s after a rise that lasts 8 s; test_overload_that_lasts_is_no_surge demands twice the memory of the usual rates, 4 s.

--- a/src/ebonyvalve/process/keyspace/rebalancing.py
+++ b/src/ebonyvalve/process/keyspace/rebalancing.py
@@ -8,7 +8,6 @@
 import bisect
 import collections.abc
 import dataclasses
-import math
 
 from ebonyvalve.process import identity
 from ebonyvalve.process.keyspace import ledger
@@ -37,8 +36,6 @@
 # A difference of less than this many standard deviations of the measured rate is taken for noise.
 # Rates of a few requests per second vary by a fifth and more between two checks.
 MIN_DEVIATIONS = 3.0
-# A rise by this many standard deviations shows a new hot range before the usual rates do.
-MIN_SURGE_DEVIATIONS = 4.0
 # A move of less load than this, as a share of the target's capacity, is not worth its cost.
 MIN_GAIN = 0.04
 # The expected queue grows without bound as the load approaches 1; this keeps it finite.
@@ -53,7 +50,7 @@
 SURGE_CHECK_INTERVAL_S = 0.25
 # Targets that only are slower than others check in turn, this far apart on average, so that the
 # writes of the ledger don't grow with their number.
-SLOW_CHECK_INTERVAL_S = 0.08
+SLOW_CHECK_INTERVAL_S = 0.25
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -100,7 +97,7 @@
     own: ledger.Candidate,
     measure_loads: collections.abc.Callable[[], collections.abc.Mapping[identity.Lifetime, Load]],
     key_rates: rates.KeyRates,
-    recent_rates: rates.KeyRates,
+    surge: rates.Surge,
     pacing: Pacing,
     now: float,
     draw: collections.abc.Callable[[], float],
@@ -112,12 +109,12 @@
     :param measure_loads: returns the loads of all targets that may hold keys, with the own one. It
         is called only when a check is due.
     :param key_rates: the usual rates of the target's keys.
-    :param recent_rates: the rates of the last moment.
+    :param surge: the rates of the last moment.
     :param pacing: when keys were last moved; the time of this check is recorded.
     :param now: seconds on the node's clock.
     :param draw: returns random numbers from 0 to 1.
     """
-    has_surged = _has_surged(key_rates, recent_rates, now)
+    has_surged = rates.has_surged(surge, now)
     # The rate of a new hot range still rises when its first part is moved.
     pause_s = SURGE_CHECK_INTERVAL_S if has_surged else REBALANCE_PAUSE_S
     interval_s = SURGE_CHECK_INTERVAL_S if has_surged else RATE_CHECK_INTERVAL_S
@@ -133,9 +130,9 @@
     loads = measure_loads()
     own_load = loads[own.lifetime]
     if has_surged:
-        key_rates = recent_rates
+        key_rates = surge.recent
         own_load = dataclasses.replace(
-            own_load, offered=rates.read_total(recent_rates, now) * own_load.request_load
+            own_load, offered=rates.read_total(key_rates, now) * own_load.request_load
         )
     if not is_busy(own_load) and not _is_slow_check_due(pacing, len(loads), now, draw):
         return []
@@ -164,13 +161,6 @@
     return True
 
 
-def _has_surged(key_rates: rates.KeyRates, recent_rates: rates.KeyRates, now: float) -> bool:
-    """Return whether the last moment's rate is too high for chance to explain it."""
-    usual = rates.read_total(key_rates, now)
-    deviation = math.sqrt(usual / (2.0 * recent_rates.memory_s))
-    return rates.read_total(recent_rates, now) > usual + MIN_SURGE_DEVIATIONS * deviation
-
-
 def expect_answer(load: Load, offered: float) -> float:
     """Return the expected seconds to an answer of a target at a given load.
 
--- a/src/ebonyvalve/process/keyspace/reconciliation.py
+++ b/src/ebonyvalve/process/keyspace/reconciliation.py
@@ -251,7 +251,7 @@
         own_candidate,
         measure_loads,
         node.key_rates,
-        node.recent_rates,
+        node.surge,
         reconciler.pacing,
         node.now(),
         node.draw,
--- a/src/ebonyvalve/process/load/rates.py
+++ b/src/ebonyvalve/process/load/rates.py
@@ -10,6 +10,8 @@
 MEMORY_S = 2.0
 # The time constant by which a sudden rise is measured.
 RECENT_MEMORY_S = 0.3
+# A rise by this many standard deviations is not explained by chance.
+MIN_SURGE_DEVIATIONS = 4.0
 # Keys with a lower rate, in requests per second, are insignificant and dropped.
 MIN_RATE = 0.02
 # Insignificant keys are dropped this often.
@@ -29,6 +31,53 @@
     compacted_at: float = float("-inf")
 
 
+@dataclasses.dataclass(kw_only=True)
+class Surge:
+    """Whether requests arrive faster than usual, and for which keys.
+
+    Both count refused requests in full, unlike the rates by which targets are compared: callers
+    have not retried yet when a rise begins. ``usual`` has no keys.
+    """
+
+    recent: KeyRates
+    usual: KeyRates
+
+
+def start_surge(now: float) -> Surge:
+    """Return the state before any request.
+
+    :param now: seconds on the node's clock.
+    """
+    return Surge(
+        recent=KeyRates(updated_at=now, memory_s=RECENT_MEMORY_S), usual=KeyRates(updated_at=now)
+    )
+
+
+def record_surge(surge: Surge, key_slot: int, now: float) -> None:
+    """Count one request, whether it was refused or not.
+
+    :param surge: the state.
+    :param key_slot: the slot of its key.
+    :param now: seconds on the node's clock.
+    """
+    record(surge.recent, key_slot, now)
+    record(surge.usual, 0, now)
+
+
+def has_surged(surge: Surge, now: float) -> bool:
+    """Return whether the last moment's rate is too high for chance to explain it.
+
+    An overload that lasts is no surge: single requests of the last moment say little of a key's
+    rate, and the usual rates know it by then.
+
+    :param surge: the state.
+    :param now: seconds on the node's clock.
+    """
+    usual = read_total(surge.usual, now)
+    deviation = math.sqrt(usual / (2.0 * surge.recent.memory_s))
+    return read_total(surge.recent, now) > usual + MIN_SURGE_DEVIATIONS * deviation
+
+
 def record(key_rates: KeyRates, key_slot: int, now: float, weight: float = 1.0) -> None:
     """Count one request.
 
--- a/src/ebonyvalve/process/node.py
+++ b/src/ebonyvalve/process/node.py
@@ -73,9 +73,7 @@
     grantor: grant.Grantor
     budget: budget.ServiceBudgets
     key_rates: rates.KeyRates
-    recent_rates: rates.KeyRates = dataclasses.field(
-        default_factory=lambda: rates.KeyRates(updated_at=0.0, memory_s=rates.RECENT_MEMORY_S)
-    )
+    surge: rates.Surge = dataclasses.field(default_factory=lambda: rates.start_surge(0.0))
     loop_lag: lag.LoopLag = dataclasses.field(default_factory=lag.LoopLag)
     request_counters: counters.Counters = dataclasses.field(default_factory=counters.Counters)
     config: identity.ConfigVersion | None = None
--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -155,8 +155,7 @@
         node.now(),
         weight=REFUSED_WEIGHT if admitted.ticket is None else 1.0,
     )
-    # Callers have not retried yet when a sudden rise is measured.
-    rates.record(node.recent_rates, key_slot, node.now())
+    rates.record_surge(node.surge, key_slot, node.now())
     if admitted.ticket is None:
         return Completion(
             result=outcome.refuse(outcome.Reason.QUEUE_FULL), retry_after_s=admitted.retry_after_s
--- a/tests/process/keyspace/test_hot_keys.py
+++ b/tests/process/keyspace/test_hot_keys.py
@@ -56,7 +56,7 @@
     phase: float
     controller: admission.Controller
     key_rates: rates.KeyRates
-    recent_rates: rates.KeyRates
+    surge: rates.Surge
     requests: dict[admission.Ticket, "Request"] = dataclasses.field(default_factory=dict)
     pacing: rebalancing.Pacing = dataclasses.field(default_factory=rebalancing.Pacing)
 
@@ -133,7 +133,7 @@
             slots=SLOTS, cold_rate=0.0, work_s=work_s, usual_work_s=work_s
         ),
         key_rates=rates.KeyRates(updated_at=0.0),
-        recent_rates=rates.KeyRates(updated_at=0.0, memory_s=rates.RECENT_MEMORY_S),
+        surge=rates.start_surge(0.0),
     )
 
 
@@ -188,7 +188,7 @@
     admitted = admission.admit(server.controller, demand, world.now)
     weight = delivery.REFUSED_WEIGHT if admitted.ticket is None else 1.0
     rates.record(server.key_rates, request.key, world.now, weight=weight)
-    rates.record(server.recent_rates, request.key, world.now)
+    rates.record_surge(server.surge, request.key, world.now)
     if admitted.ticket is None:
         refuse(world, request, admitted.retry_after_s)
         return
@@ -265,7 +265,7 @@
         server.candidate,
         lambda: loads,
         server.key_rates,
-        server.recent_rates,
+        server.surge,
         server.pacing,
         world.now,
         world.rng.random,
@@ -357,7 +357,7 @@
     """
     careful = run(build_world(heats=[], seed=3), 20.0)
     monkeypatch.setattr(rebalancing, "MIN_DEVIATIONS", 0.0)
-    monkeypatch.setattr(rebalancing, "MIN_SURGE_DEVIATIONS", 0.0)
+    monkeypatch.setattr(rates, "MIN_SURGE_DEVIATIONS", 0.0)
     hasty = run(build_world(heats=[], seed=3), 20.0)
     assert careful.writes < 0.5 * hasty.writes
     assert careful.share(6, 20) > hasty.share(6, 20) - 0.02
--- a/tests/process/load/test_rates.py
+++ b/tests/process/load/test_rates.py
@@ -28,3 +28,25 @@
     assert rates.read_total(state, 0.0) == pytest.approx(3 / rates.MEMORY_S)
     rates.retain(state, [])
     assert rates.read_total(state, 0.0) == 0.0
+
+
+def test_overload_that_lasts_is_no_surge() -> None:
+    """Guards against moves without end beside a key that no move can relieve.
+
+    Load pattern: one key gets a third of a service's lookups, and most of them are refused. Single
+    requests for the other keys of its target looked like rates for as long as that lasted, and half
+    of all keys were moved in 8 s of a play.
+    """
+    surge = rates.start_surge(0.0)
+    for number in range(40):
+        rates.record_surge(surge, number, number / 10)
+    assert not rates.has_surged(surge, 4.0)
+    surged_at = []
+    for number in range(146 * 8):
+        now = 4.0 + number / 146
+        rates.record_surge(surge, 7, now)
+        if rates.has_surged(surge, now):
+            surged_at.append(now)
+    # Within a check of the rates, and no longer than the usual rates take to rise.
+    assert surged_at[0] < 4.25
+    assert surged_at[-1] < 4.0 + 2 * rates.MEMORY_S
