--- a/src/ebonyvalve/process/load/rates.py
+++ b/src/ebonyvalve/process/load/rates.py
@@ -74,7 +74,7 @@
     :param now: seconds on the node's clock.
     """
     usual = read_total(surge.usual, now)
-    deviation = math.sqrt(usual / (2.0 * surge.recent.memory_s))
+    deviation = _find_deviation(usual, surge.recent.memory_s)
     return read_total(surge.recent, now) > usual + MIN_SURGE_DEVIATIONS * deviation
 
 
@@ -121,7 +121,12 @@
     :param key_rates: the state.
     :param now: seconds on the node's clock.
     """
-    return math.sqrt(read_total(key_rates, now) / (2.0 * key_rates.memory_s))
+    return _find_deviation(read_total(key_rates, now), key_rates.memory_s)
+
+
+def _find_deviation(rate: float, memory_s: float) -> float:
+    """Return the standard deviation of a rate that is measured by counts which decay."""
+    return math.sqrt(rate / (2.0 * memory_s))
 
 
 def retain(key_rates: KeyRates, held_ranges: collections.abc.Sequence[tuple[int, int]]) -> None:
--- a/src/ebonyvalve/process/store/relay.py
+++ b/src/ebonyvalve/process/store/relay.py
@@ -186,15 +186,19 @@
     """Record whether the store has answered; nodes that wait for its changes hear of a failure."""
     if isinstance(answer, table.Failure) and answer is not table.Failure.HISTORY_GONE:
         relay.failed_at = relay.now()
-        _wake(relay)
+        _wake_all(relay)
     else:
         relay.answered_at = relay.now()
 
 
-def _wake(relay: Relay) -> None:
+def _wake_all(relay: Relay) -> None:
     for changes in relay.logs.values():
-        changes.changed.set()
-        changes.changed = trio.Event()
+        _wake(changes)
+
+
+def _wake(changes: ChangeLog) -> None:
+    changes.changed.set()
+    changes.changed = trio.Event()
 
 
 def _find_log(relay: Relay, name: table.TableName) -> ChangeLog:
@@ -239,8 +243,7 @@
         changes.floor = kept[0].version - 1
     if newer:
         changes.newest = max(row.version for row in newer)
-        changes.changed.set()
-        changes.changed = trio.Event()
+        _wake(changes)
 
 
 async def _follow_sources(
@@ -379,4 +382,4 @@
     :param relay: the state.
     """
     relay.is_stopping = True
-    _wake(relay)
+    _wake_all(relay)
