--- a/src/ebonyvalve/process/demo.py
+++ b/src/ebonyvalve/process/demo.py
@@ -29,8 +29,8 @@
 )
 from ebonyvalve.version import objects, publish
 
-SERVICE = identity.ServiceId("calendrier")
-ZONES = ["rimouski", "gaspe", "matane"]
+SERVICE = identity.ServiceId("bookings")
+ZONES = ["zone-a", "zone-b", "zone-c"]
 NODES = 6
 PARTITIONS = 64
 KEYS = 40
@@ -201,7 +201,7 @@
                 await _announce_all(mesh)
                 await _wait_ready(mesh)
                 first = mesh.nodes[0].cfg.caller_address
-                print(f"try: curl -i http://{first}/{SERVICE}/salle-1/slots", flush=True)
+                print(f"try: curl -i http://{first}/{SERVICE}/room-1/slots", flush=True)
                 nursery.start_soon(_print_forever, mesh)
                 await _call_forever(mesh)
     print(f"{mesh.answered} requests answered, {len(mesh.failures)} wrong", flush=True)
