Recognize releases only after the grants of ended processes have expired

Cause: a release is recognized by a report later than an answer without the range. A restarted node does not know which reports were sent before the grants of the process before it, so that two late reports pass for an answer that was seen and a release.

Why it works: whatever the target holds after inherited_until was granted by this process, and a report that was sent before such a grant has a lower number than the report that was answered with it, so it is refused as late. Until then the target keeps a moving range that it reports.

--- a/src/ebonyvalve/process/keyspace/grant.py
+++ b/src/ebonyvalve/process/keyspace/grant.py
@@ -39,7 +39,8 @@
 class Grantor:
     """What the node knows of its target's holds.
 
-    ``ends_at`` is when everything granted so far has expired, in seconds on the node's clock.
+    ``ends_at`` is when everything granted so far has expired, and ``inherited_until`` when
+    everything that ended processes of the node granted has, in seconds on the node's clock.
     ``withheld`` has the ranges that answers leave out because they move, by first and last key,
     each with the sequence number of the first report that was answered without it. ``granted``
     has the first and last key of the ranges in the last answer. ``sequence`` and ``holds`` are
@@ -49,6 +50,7 @@
     lifetime: identity.Lifetime = ledger.NO_HOLDER
     sequence: int = -1
     ends_at: float = 0.0
+    inherited_until: float = float("-inf")
     holds: tuple[tuple[int, int, int], ...] = ()
     released: list[tuple[int, int, str]] = dataclasses.field(default_factory=list)
     withheld: dict[tuple[int, int], int] = dataclasses.field(default_factory=dict)
@@ -74,7 +76,8 @@
     :param now: seconds on the node's clock.
     :param max_hold_s: the longest hold that any incarnation grants, in seconds.
     """
-    return Grantor(ends_at=lease.find_hold_end(now, max_hold_s))
+    ends_at = lease.find_hold_end(now, max_hold_s)
+    return Grantor(ends_at=ends_at, inherited_until=ends_at)
 
 
 def record_report(grantor: Grantor, report: Report) -> None:
@@ -105,8 +108,14 @@
         grantor.granted = ()
         return Grant(spans=None, hold_s=0.0)
     held_spans = ledger.list_held(current, grantor.lifetime)
-    spans = tuple(span for span in held_spans if not span.successor)
-    moving = {(span.first, span.last) for span in held_spans if span.successor}
+    # A release can't be recognized yet, so that the target goes on serving what it holds.
+    is_inheriting = now <= grantor.inherited_until
+    spans = tuple(
+        span
+        for span in held_spans
+        if not span.successor or (is_inheriting and _is_held(grantor, span))
+    )
+    moving = {(span.first, span.last) for span in held_spans if span not in spans}
     grantor.withheld = {
         key_range: grantor.withheld.get(key_range, grantor.sequence) for key_range in sorted(moving)
     }
@@ -119,7 +128,9 @@
     """Return the handovers of the moving spans that the target has certainly released.
 
     A span is released when the target has seen an answer without it and no longer reports it, or
-    when all holds have expired. The handovers are by first key; one is empty if none was given.
+    when all holds have expired. Reports from before a grant of an ended process lack the span too
+    and may arrive late, so that the first case counts only after those grants have expired. The
+    handovers are by first key; one is empty if none was given.
 
     :param grantor: the state.
     :param current: the service's ledger.
@@ -131,12 +142,17 @@
             continue
         withheld_since = grantor.withheld.get((span.first, span.last))
         is_informed = withheld_since is not None and grantor.sequence > withheld_since
-        is_held = any(first <= span.last and last >= span.first for first, last, _ in grantor.holds)
-        if (is_informed and not is_held) or now > grantor.ends_at:
+        is_released = is_informed and now > grantor.inherited_until and not _is_held(grantor, span)
+        if is_released or now > grantor.ends_at:
             free[span.first] = _find_handover(grantor, span)
     return free
 
 
+def _is_held(grantor: Grantor, span: ledger.Span) -> bool:
+    """Return whether the target's last report names a key of a span."""
+    return any(first <= span.last and last >= span.first for first, last, _ in grantor.holds)
+
+
 def _find_handover(grantor: Grantor, span: ledger.Span) -> str:
     for first, last, handover in reversed(grantor.released):
         if first <= span.first and last >= span.last:
--- a/tests/process/keyspace/test_grant.py
+++ b/tests/process/keyspace/test_grant.py
@@ -3,6 +3,8 @@
 import collections
 import dataclasses
 
+import pytest
+
 from ebonyvalve.process import identity
 from ebonyvalve.process.keyspace import grant, lease, ledger
 
@@ -28,7 +30,10 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class World:
-    """A target and its hold, the state of its node, and one message in transit each way."""
+    """A target and its hold, the state of its node, and one message in transit each way.
+
+    ``late`` has the reports that are held up on their way, and may arrive at any time.
+    """
 
     now: float
     is_moving: bool
@@ -38,12 +43,14 @@
     node: tuple[object, ...]
     report: tuple[int, bool, float] | None
     answer: tuple[bool, float, float] | None
+    late: tuple[tuple[int, bool], ...] = ()
 
 
 def pack(state: grant.Grantor) -> tuple[object, ...]:
     return (
         state.sequence,
         state.ends_at,
+        state.inherited_until,
         state.holds,
         tuple(sorted(state.withheld.items())),
         state.granted,
@@ -51,11 +58,12 @@
 
 
 def unpack(packed: tuple[object, ...]) -> grant.Grantor:
-    sequence, ends_at, holds, withheld, granted = packed
+    sequence, ends_at, inherited_until, holds, withheld, granted = packed
     return grant.Grantor(
         lifetime=X,
         sequence=sequence,  # type: ignore[arg-type]
         ends_at=ends_at,  # type: ignore[arg-type]
+        inherited_until=inherited_until,  # type: ignore[arg-type]
         holds=holds,  # type: ignore[arg-type]
         withheld=dict(withheld),  # type: ignore[call-overload]
         granted=granted,  # type: ignore[arg-type]
@@ -81,14 +89,7 @@
     if world.report is not None:
         sequence, reported, sent_at = world.report
         worlds.append(change(world, report=None))
-        holds_rows = ((0, identity.LAST_KEY_SLOT, 1),) if reported else ()
-        grant.record_report(
-            state,
-            grant.Report(lifetime=X, sequence=sequence, holds=holds_rows, released=()),
-        )
-        given = grant.answer(
-            state, build_ledger(is_moving=world.is_moving), now=world.now, hold_s=HOLD_S
-        )
+        given = receive(state, sequence, reported, is_moving=world.is_moving, now=world.now)
         is_granted = bool(given.spans)
         worlds.append(
             change(world, node=pack(state), report=None, answer=(is_granted, sent_at, given.hold_s))
@@ -103,22 +104,49 @@
     fresh = grant.start(now=world.now, max_hold_s=HOLD_S)
     fresh.lifetime = X
     worlds.append(change(world, node=pack(fresh), report=None, answer=None))
+    for position, (sequence, reported) in enumerate(world.late):
+        remaining = world.late[:position] + world.late[position + 1 :]
+        state = unpack(world.node)
+        if sequence > state.sequence:
+            # The target no longer waits for the answer.
+            receive(state, sequence, reported, is_moving=world.is_moving, now=world.now)
+        worlds.append(change(world, node=pack(state), late=remaining))
     return worlds
 
 
-def test_no_order_of_events_frees_keys_that_are_held() -> None:
-    """Lost or late messages, node restarts or slow clocks could give a key two owners."""
+def receive(
+    state: grant.Grantor, sequence: int, reported: bool, *, is_moving: bool, now: float
+) -> grant.Grant:
+    """Apply a report of the target and answer it."""
+    holds = ((0, identity.LAST_KEY_SLOT, 1),) if reported else ()
+    grant.record_report(
+        state, grant.Report(lifetime=X, sequence=sequence, holds=holds, released=())
+    )
+    return grant.answer(state, build_ledger(is_moving=is_moving), now=now, hold_s=HOLD_S)
+
+
+@pytest.mark.parametrize(
+    "late",
+    [(), ((1, False),), ((1, False), (2, False)), ((1, False), (2, False), (3, False))],
+    ids=len,
+)
+def test_no_order_of_events_frees_keys_that_are_held(late: tuple[tuple[int, bool], ...]) -> None:
+    """Lost or late messages, node restarts or slow clocks could give a key two owners.
+
+    The late reports were sent before the target received its keys.
+    """
     state = grant.start(now=0.0, max_hold_s=HOLD_S)
     state.lifetime = X
     first = World(
         now=0.0,
         is_moving=False,
         target_until=HOLD_S,
-        target_sequence=0,
+        target_sequence=len(late),
         is_releasing=False,
         node=pack(state),
         report=None,
         answer=None,
+        late=late,
     )
     queue = collections.deque([(first, 0)])
     seen = {first}
@@ -129,14 +157,14 @@
             free = grant.find_released(unpack(world.node), build_ledger(is_moving=True), world.now)
             if free:
                 freed += 1
-                late = (
+                is_grant_on_its_way = (
                     world.answer is not None
                     and world.answer[0]
                     and world.now - world.answer[1] <= STEP_S
                 )
                 assert world.now >= world.target_until, world
-                assert not late, world
-        if depth == DEPTH:
+                assert not is_grant_on_its_way, world
+        if depth == DEPTH - len(late):
             continue
         for following in list_next(world):
             if following not in seen:
@@ -146,6 +174,20 @@
     assert len(seen) > 1000
 
 
+def test_moving_range_is_served_until_its_release_can_be_recognized() -> None:
+    """Guards against refusing the keys of a sound target while a restarted node waits."""
+    state = grant.start(now=0.0, max_hold_s=HOLD_S)
+    grants = []
+    for sequence in range(8):
+        given = receive(state, sequence, True, is_moving=True, now=float(sequence))
+        grants.append(bool(given.spans))
+    assert grants == [float(now) <= state.inherited_until for now in range(8)]
+    assert not grants[-1]
+    # The target has seen an answer without the range.
+    receive(state, 8, False, is_moving=True, now=7.5)
+    assert grant.find_released(state, build_ledger(is_moving=True), 7.5) == {0: ""}
+
+
 def test_handover_of_a_wider_release_is_used() -> None:
     """A target may report a release as one range although the ledger has split it."""
     state = grant.Grantor(lifetime=X, sequence=5)
