Keep the row of a target that has left, and read it before announcing

Cause: a leave was recorded by removing the row of the node. A restarted process then finds nothing about the lifetime and takes a report from before the leave, which arrives late, for that of a new target.

Why it works: the row says gone with the lifetime, is read before the first announcement, and is final for that lifetime whatever arrived before. It is removed ten minutes later, with another announcement.

Calls to the store: none more.

--- a/src/ebonyvalve/platform/announcement.py
+++ b/src/ebonyvalve/platform/announcement.py
@@ -88,7 +88,7 @@
     wire = decoded.unwrap()
     return Announcement(
         report=grant.Report(
-            lifetime=build_lifetime(name, wire.born),
+            lifetime=member.name_lifetime(name, wire.born),
             sequence=wire.status.seq,
             holds=tuple(wire.holds),
             released=tuple(wire.released),
@@ -114,31 +114,6 @@
     return ""
 
 
-def build_lifetime(name: str, started_at_ms: int) -> identity.Lifetime:
-    """Return the identifier of one lifetime of a target.
-
-    :param name: the target's id.
-    :param started_at_ms: the Unix time of its start in milliseconds.
-    """
-    return identity.Lifetime(f"{name}@{started_at_ms}")
-
-
-def read_target_id(lifetime: identity.Lifetime) -> str:
-    """Return the target's id.
-
-    :param lifetime: made by :func:`build_lifetime`.
-    """
-    return lifetime.rpartition("@")[0]
-
-
-def read_started_at(lifetime: identity.Lifetime) -> int:
-    """Return the Unix time of a lifetime's start in milliseconds, 0 if it names none.
-
-    :param lifetime: made by :func:`build_lifetime`.
-    """
-    return decoding.read_count(lifetime.rpartition("@")[2]) or 0
-
-
 def encode(issued: grant.Grant | None) -> bytes:
     """Encode the answer to a status report.
 
--- a/src/ebonyvalve/platform/dialect.py
+++ b/src/ebonyvalve/platform/dialect.py
@@ -5,8 +5,7 @@
 import h11
 
 from ebonyvalve.connection import wire
-from ebonyvalve.platform import announcement
-from ebonyvalve.process import decoding, identity
+from ebonyvalve.process import decoding, identity, member
 from ebonyvalve.request import correlation, delivery, exchange, front, hop_headers, origin
 
 REQUEST_ID = b"x-attempt-id"
@@ -52,7 +51,7 @@
     assert rules is not None
     headers = [
         (BUDGET_MS, str(max(1, int(budget_s * 1000))).encode()),
-        (EXPECT_TARGET, announcement.read_target_id(lifetime).encode()),
+        (EXPECT_TARGET, member.read_target_id(lifetime).encode()),
         (CALLER_SERVICE, rules.origin_service.encode()),
     ]
     if rules.account:
--- a/src/ebonyvalve/platform/reports.py
+++ b/src/ebonyvalve/platform/reports.py
@@ -97,9 +97,11 @@
     :param decoded: the report.
     """
     if decoded.report.lifetime == current.lifetime:
-        return decoded.report.sequence <= node.grantor.sequence
+        # The last report may have been a late one of an earlier lifetime.
+        is_counted = node.grantor.lifetime == current.lifetime
+        return is_counted and decoded.report.sequence <= node.grantor.sequence
     # A restarted node knows only the name of its target's lifetime.
-    started_at_ms = current.started_at_ms or announcement.read_started_at(current.lifetime)
+    started_at_ms = current.started_at_ms or member.read_started_at(current.lifetime)
     return decoded.started_at_ms < started_at_ms
 
 
@@ -110,6 +112,6 @@
     :param name: the target's id.
     """
     target = reconciler.node.target
-    if target is not None and announcement.read_target_id(target.lifetime) == name:
+    if target is not None and member.read_target_id(target.lifetime) == name:
         node_module.set_target_gone(reconciler.node, "has left", is_dead=False)
     return http.Reply(status=200, body=b"{}")
--- a/src/ebonyvalve/process/keyspace/records.py
+++ b/src/ebonyvalve/process/keyspace/records.py
@@ -40,6 +40,8 @@
 REWRITE_S = 2 * lease.RENEW_S
 # The departures that are remembered in case that the store forgets them.
 MAX_REMOVED = 256
+# A target that has left may run on for some seconds, and its reports may be late by some seconds.
+DEPARTED_RETENTION_S = 600.0
 
 
 def name_member_row(name: identity.NodeId) -> table.Name:
@@ -78,6 +80,14 @@
     lease_version: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DepartedRow:
+    """The row of a node whose target has left. ``seen_at`` is in seconds on the node's clock."""
+
+    version: int
+    seen_at: float
+
+
 # Gets rows of members and ledgers that were complete at a time, in seconds on the node's clock, and
 # whether these are all rows.
 OnRows = collections.abc.Callable[[table.Rows, float, bool], None]
@@ -92,7 +102,8 @@
     """The node's rows in the store, and how far it has read the other rows.
 
     ``mesh_version`` is the version up to which members and ledgers have been read.
-    ``announced_version`` is that of the node's row when it wrote ``announced_member``.
+    ``announced_version`` is that of the node's row when it wrote ``announced_member``, and
+    ``own_row_version`` the one that the row has as far as the node knows.
     ``leases_asked_at`` is when the leases were last requested, ``leases_read_at`` when an answer
     last arrived. Times are in seconds on the node's clock. ``on_rows`` gets all rows that are read,
     and ``find_follow_s`` returns the longest wait for changes.
@@ -104,6 +115,7 @@
     mesh_version: int = 0
     announced_member: member.Member | None = None
     announced_version: int = table.MISSING
+    own_row_version: int = table.MISSING
     lease_row: lease.LeaseRow | None = None
     lease_version: int = table.MISSING
     leases_read_at: float = float("-inf")
@@ -143,8 +155,10 @@
     reread_at: float | None = None
     # When this node is to begin or to clear the ledger after a restore; None if neither is due.
     restoration_at: float | None = None
-    # Lifetimes of targets whose rows were removed, the oldest first.
+    # Lifetimes of targets that have left or whose rows were removed, the oldest first.
     removed_lifetimes: dict[identity.Lifetime, None] = dataclasses.field(default_factory=dict)
+    # The rows of nodes whose targets have left; no member has one of these names.
+    departed_rows: dict[identity.NodeId, DepartedRow] = dataclasses.field(default_factory=dict)
 
 
 async def follow_mesh(reconciler: Reconciler) -> None:
@@ -270,9 +284,12 @@
         for name in list(node.members):
             if MEMBER_PREFIX + name not in names and not is_early:
                 drop_member(reconciler, name)
+        for name in list(reconciler.departed_rows):
+            if MEMBER_PREFIX + name not in names:
+                del reconciler.departed_rows[name]
         _forget_lost_ledgers(reconciler, names)
         if MEMBER_PREFIX + node.place.node not in names:
-            _check_own_row(reconciler, None, read.version)
+            _record_own_row(reconciler, None, table.MISSING, read.version)
         row_names = {format_row_name(row.name) for row in read.rows}
         decoding.forget_missing(node.unreadable_rows, MESH, row_names)
     for row in read.rows:
@@ -317,7 +334,10 @@
     if key.startswith(MEMBER_PREFIX):
         name = identity.NodeId(key.removeprefix(MEMBER_PREFIX))
         if row.is_removed:
-            _remember_removed(reconciler, name)
+            known = reconciler.node.members.get(name)
+            if known is not None:
+                _remember_removed(reconciler, known.lifetime)
+            reconciler.departed_rows.pop(name, None)
             drop_member(reconciler, name)
         else:
             fault = _apply_member_row(reconciler, name, row)
@@ -325,8 +345,10 @@
         fault = _apply_ledger(reconciler, identity.ServiceId(key.removeprefix(LEDGER_PREFIX)), row)
     row_name = format_row_name(row.name)
     if key == MEMBER_PREFIX + reconciler.node.place.node:
-        decoded = member.decode(row.value).value_or(None)
-        _check_own_row(reconciler, None if row.is_removed else decoded, row.version)
+        is_missing = row.is_removed or row.version == table.MISSING
+        decoded = None if is_missing else member.decode(row.value).value_or(None)
+        version = table.MISSING if is_missing else row.version
+        _record_own_row(reconciler, decoded, version, row.version)
     if fault:
         decoding.record_unreadable(
             reconciler.node.unreadable_rows, log, row_name, row.version, fault
@@ -335,23 +357,28 @@
         decoding.record_readable(reconciler.node.unreadable_rows, row_name, row.version)
 
 
-def _check_own_row(reconciler: Reconciler, found: member.Member | None, version: int) -> None:
-    """Write the node's row again if another one has taken its place.
+def _record_own_row(
+    reconciler: Reconciler, found: member.Member | None, version: int, read_version: int
+) -> None:
+    """Record the node's own row, and write it again if another one has taken its place.
 
     It may be an earlier row that the store has written late, or one that nodes can't read. The
     nodes that start now know no other.
     """
+    if read_version <= reconciler.announced_version:
+        return
+    reconciler.own_row_version = version
     known = reconciler.announced_member
-    if known is None or version <= reconciler.announced_version:
+    if known is None:
         return
     # The row may also be one that is being written, whose answer has not arrived yet.
     for expected in (known, node_module.build_member(reconciler.node)):
-        is_removal = expected is not None and expected.state is member.TargetState.GONE
+        is_removal = expected is not None and node_module.is_removal(expected)
         if found == expected or (found is None and is_removal):
             break
     else:
         reconciler.announced_member = None
-        decision.record(log, logging.WARNING, "own-row-replaced", version=version)
+        decision.record(log, logging.WARNING, "own-row-replaced", version=read_version)
 
 
 def format_row_name(name: table.Name) -> str:
@@ -375,17 +402,32 @@
     ):
         # What this node knows is newer, and the row's own node writes it again.
         return ""
-    _apply_member(reconciler, announced)
+    if name == reconciler.node.place.node:
+        node_module.record_own_row(reconciler.node, announced)
+    if member.has_left(announced):
+        _record_departed(reconciler, announced, row.version)
+    else:
+        reconciler.departed_rows.pop(name, None)
+        _apply_member(reconciler, announced)
     return ""
 
 
-def _remember_removed(reconciler: Reconciler, name: identity.NodeId) -> None:
-    """Remember the lifetime of a target whose row was removed, since a copy may bring it back."""
-    known = reconciler.node.members.get(name)
-    if known is not None:
-        reconciler.removed_lifetimes[known.lifetime] = None
-        while len(reconciler.removed_lifetimes) > MAX_REMOVED:
-            del reconciler.removed_lifetimes[next(iter(reconciler.removed_lifetimes))]
+def _record_departed(reconciler: Reconciler, announced: member.Member, version: int) -> None:
+    """Forget a node whose target has left, but not that it has."""
+    name = announced.node
+    known = reconciler.departed_rows.get(name)
+    if known is None or known.version != version:
+        now = reconciler.node.now()
+        reconciler.departed_rows[name] = DepartedRow(version=version, seen_at=now)
+    _remember_removed(reconciler, announced.lifetime)
+    drop_member(reconciler, name)
+
+
+def _remember_removed(reconciler: Reconciler, lifetime: identity.Lifetime) -> None:
+    """Remember the lifetime of a target that has left, since a copy may bring it back."""
+    reconciler.removed_lifetimes[lifetime] = None
+    while len(reconciler.removed_lifetimes) > MAX_REMOVED:
+        del reconciler.removed_lifetimes[next(iter(reconciler.removed_lifetimes))]
 
 
 def drop_member(reconciler: Reconciler, name: identity.NodeId) -> None:
@@ -415,9 +457,6 @@
         or before.address != announced.address
     ):
         node.target_views.pop(announced.node, None)
-    # A node that restarts beside a running target need not wait for the target's next report.
-    if announced.node == node.place.node and node.target is None:
-        node_module.assume_target(node, announced)
     decision.record(
         log,
         logging.INFO,
--- a/src/ebonyvalve/process/member.py
+++ b/src/ebonyvalve/process/member.py
@@ -21,7 +21,8 @@
 class Member(msgspec.Struct, kw_only=True, frozen=True):
     """A node and its local target. ``address`` accepts requests for the target.
 
-    ``era`` is the era of the store in which the row was written, absent in era 0.
+    ``era`` is the era of the store in which the row was written, absent in era 0. ``has_left`` is
+    set for a target that is gone because it has announced its end, and absent otherwise.
     """
 
     node: identity.NodeId
@@ -32,6 +33,7 @@
     slots: decoding.Slots
     state: TargetState
     era: decoding.Count | msgspec.UnsetType = msgspec.UNSET
+    has_left: bool | msgspec.UnsetType = msgspec.UNSET
 
 
 class Departure(msgspec.Struct, kw_only=True, frozen=True):
@@ -41,6 +43,31 @@
     state: TargetState
 
 
+def name_lifetime(target_id: str, started_at_ms: int) -> identity.Lifetime:
+    """Return the identifier of one lifetime of a target.
+
+    :param target_id: the target's id.
+    :param started_at_ms: the Unix time of its start in milliseconds.
+    """
+    return identity.Lifetime(f"{target_id}@{started_at_ms}")
+
+
+def read_target_id(lifetime: identity.Lifetime) -> str:
+    """Return the target's id.
+
+    :param lifetime: made by :func:`name_lifetime`.
+    """
+    return lifetime.rpartition("@")[0]
+
+
+def read_started_at(lifetime: identity.Lifetime) -> int:
+    """Return the Unix time of a lifetime's start in milliseconds, 0 if it names none.
+
+    :param lifetime: made by :func:`name_lifetime`.
+    """
+    return decoding.read_count(lifetime.rpartition("@")[2]) or 0
+
+
 def find_departure_fault(departure: Departure) -> str:
     """Return what is wrong with a departure, or an empty string.
 
@@ -78,4 +105,22 @@
         text = getattr(member, name)
         if not decoding.is_name(text):
             return f"{name} {text!r} is not a valid name"
+    if has_left(member) and member.state is not TargetState.GONE:
+        return f"a target that has left is in state {member.state.value!r}"
     return ""
+
+
+def has_left(member: Member) -> bool:
+    """Return whether a member's target is gone because it has announced its end.
+
+    :param member: the member.
+    """
+    return member.has_left is True
+
+
+def is_departing(member: Member) -> bool:
+    """Return whether a member's target has announced its end, which is final for its lifetime.
+
+    :param member: the member.
+    """
+    return has_left(member) or member.state is TargetState.LEAVING
--- a/src/ebonyvalve/process/node.py
+++ b/src/ebonyvalve/process/node.py
@@ -36,8 +36,8 @@
     ``started_at_ms`` is the Unix time of its start in milliseconds, 0 if not known yet.
     ``reported_at`` is in seconds on the node's clock. ``is_assumed`` is set for a target that is
     known only from the node's row in the store and has not reported yet. ``has_left`` means that it
-    has announced its end, for the rest of its lifetime. ``is_dead`` means that its process has
-    ended; a target that is gone but not dead may still run and hold keys.
+    is gone and has announced its end, for the rest of its lifetime. ``is_dead`` means that its
+    process has ended; a target that is gone but not dead may still run and hold keys.
     ``is_silent`` means that it has sent no report for so long that all of its holds have expired.
     """
 
@@ -80,7 +80,8 @@
     ``is_mesh_known`` is set once members and ledgers, and ``is_operator_state_known`` once the
     operator's rows have been read. ``is_informed`` is set once the process has asked the others
     what they remember. ``departures`` has the targets that were leaving while the store could not
-    record it. ``is_stopping`` means that callers are sent to other nodes,
+    record it, and the one beside this node if its row says so.
+    ``is_stopping`` means that callers are sent to other nodes,
     ``is_ending`` that this process sends no more work to the target. ``closed_at`` is when the
     target last stopped taking new work, in seconds on the node's clock. ``changed`` is set and
     replaced by a new event on every state change that other tasks may wait for. ``draw`` returns
@@ -425,6 +426,7 @@
         slots=target.slots,
         state=member.TargetState.SILENT if is_keyless else target.state,
         era=era.stamp(node.eras),
+        has_left=target.has_left or msgspec.UNSET,
     )
 
 
@@ -469,22 +471,47 @@
     A restarted process does not know how late the first report is that it gets.
     """
     target = node.target
-    if target is not None and target.lifetime == lifetime:
-        if target.has_left:
-            return member.TargetState.GONE
-        if target.is_assumed and target.state is member.TargetState.LEAVING:
-            return target.state
+    if target is not None and target.lifetime == lifetime and target.has_left:
+        return member.TargetState.GONE
     return node.departures.get(lifetime)
 
 
-def assume_target(node: Node, announced: member.Member) -> None:
-    """Take the target from the node's own row until it reports, after a restart of the process.
+def record_own_row(node: Node, announced: member.Member) -> None:
+    """Update the target from the node's own row, which an ended process may have written.
 
-    It counts as cold meanwhile, since the row does not say whether it is.
+    A report may have arrived before the row: one of an earlier lifetime was late, and so was one of
+    a lifetime that has left since.
 
     :param node: the node.
     :param announced: the row.
     """
+    target = node.target
+    if target is None:
+        _assume_target(node, announced)
+        return
+    if target.lifetime == announced.lifetime:
+        if member.is_departing(announced) and target.state is member.TargetState.READY:
+            departure = member.Departure(lifetime=announced.lifetime, state=announced.state)
+            record_departure(node, departure)
+        return
+    started_at_ms = target.started_at_ms or member.read_started_at(target.lifetime)
+    if member.read_started_at(announced.lifetime) > started_at_ms:
+        decision.record(
+            log,
+            logging.INFO,
+            "report-late",
+            target=target.lifetime,
+            sequence=node.grantor.sequence,
+            lifetime=announced.lifetime,
+        )
+        _assume_target(node, announced)
+
+
+def _assume_target(node: Node, announced: member.Member) -> None:
+    """Take the target from the node's own row until it reports, after a restart of the process.
+
+    It counts as cold meanwhile, since the row does not say whether it is.
+    """
     node.target = Target(
         lifetime=announced.lifetime,
         started_at_ms=0,
@@ -492,7 +519,10 @@
         state=announced.state,
         reported_at=node.now(),
         is_assumed=True,
+        has_left=member.has_left(announced),
     )
+    if member.is_departing(announced):
+        _remember_departure(node, announced.lifetime, announced.state)
     node.admission.slots = announced.slots
     _assume_cold(node)
 
@@ -521,9 +551,7 @@
     lifetime, state = departure.lifetime, departure.state
     if node.departures.get(lifetime) in (state, member.TargetState.GONE):
         return
-    node.departures[lifetime] = state
-    while len(node.departures) > MAX_DEPARTURES:
-        del node.departures[next(iter(node.departures))]
+    _remember_departure(node, lifetime, state)
     for name, other in node.members.items():
         node.members[name] = apply_departure(node, other)
     target = node.target
@@ -536,6 +564,23 @@
     notify_changed(node)
 
 
+def _remember_departure(node: Node, lifetime: identity.Lifetime, state: member.TargetState) -> None:
+    node.departures[lifetime] = state
+    while len(node.departures) > MAX_DEPARTURES:
+        del node.departures[next(iter(node.departures))]
+
+
+def is_removal(announced: member.Member) -> bool:
+    """Return whether an announcement is the removal of the node's row.
+
+    The row of a target that has left is kept: a restarted process knows by it that reports of this
+    lifetime are late.
+
+    :param announced: the announcement.
+    """
+    return announced.state is member.TargetState.GONE and not member.has_left(announced)
+
+
 def apply_departure(node: Node, announced: member.Member) -> member.Member:
     """Return an announcement with the state of which this node was told, if that is newer.
 
@@ -563,7 +608,7 @@
         target,
         state=member.TargetState.GONE,
         is_assumed=False,
-        has_left=target.has_left or not is_dead,
+        has_left=target.has_left or not is_dead or target.state is member.TargetState.LEAVING,
         is_dead=target.is_dead or is_dead,
     )
     if gone == target:
--- a/src/ebonyvalve/process/quota/exchange.py
+++ b/src/ebonyvalve/process/quota/exchange.py
@@ -128,9 +128,9 @@
 
 
 def _list_zones(exchange: Exchange) -> ranking.Zones:
-    """Return the members without this node if its own row is about to be removed.
+    """Return the members without this node if its target is gone.
 
-    Another node lends in its place as soon as it reads that the row is gone.
+    Another node lends in its place as soon as it reads so.
     """
     if not _is_leaving(exchange.node):
         return exchange.members.zones
@@ -139,7 +139,7 @@
 
 
 def _is_leaving(node: node_module.Node) -> bool:
-    """Return whether this node removes its row, or has removed it."""
+    """Return whether this node's row says that its target is gone, or is about to."""
     announced = node_module.build_member(node)
     return announced is not None and announced.state is member.TargetState.GONE
 
--- a/src/ebonyvalve/process/quota/view.py
+++ b/src/ebonyvalve/process/quota/view.py
@@ -49,9 +49,14 @@
             _drop(view, name)
             continue
         decoded = member.decode(row.value)
-        if isinstance(decoded, result.Success):
-            view.zones[name] = decoded.unwrap().zone
-            view.row_versions[name] = row.version
+        if not isinstance(decoded, result.Success):
+            continue
+        announced = decoded.unwrap()
+        if member.has_left(announced):
+            _drop(view, name)
+            continue
+        view.zones[name] = announced.zone
+        view.row_versions[name] = row.version
     view.version = read.version
     return True
 
--- a/tests/platform/test_announcement.py
+++ b/tests/platform/test_announcement.py
@@ -25,7 +25,7 @@
     decoded = announcement.decode("i-1", msgspec.json.encode(REPORT))
     assert isinstance(decoded, announcement.Announcement)
     assert decoded.report.lifetime == "i-1@1786528994000"
-    assert announcement.read_target_id(decoded.report.lifetime) == "i-1"
+    assert member.read_target_id(decoded.report.lifetime) == "i-1"
     assert decoded.state is member.TargetState.LEAVING
     assert decoded.report.holds == ((0, 4095, 7),)
     assert decoded.report.released == ((4096, 8191, "5c0e"),)
--- a/tests/platform/test_reports.py
+++ b/tests/platform/test_reports.py
@@ -92,6 +92,12 @@
 def build_restarted(*, born: int, state: member.TargetState) -> records.Reconciler:
     """Return a node that has just read its own row and has had no report yet."""
     reconciler = build_reconciler()
+    read_own_row(reconciler, born=born, state=state)
+    return reconciler
+
+
+def read_own_row(reconciler: records.Reconciler, *, born: int, state: member.TargetState) -> None:
+    """Let a node read the row that the process before it has written."""
     place = reconciler.node.place
     row = member.Member(
         node=place.node,
@@ -101,11 +107,11 @@
         lifetime=identity.Lifetime(f"{NAME}@{born}"),
         slots=6,
         state=state,
+        has_left=state is member.TargetState.GONE or msgspec.UNSET,
     )
     test_records.take(
         reconciler, test_records.build_row(f"member/{place.node}", member.encode(row), 5)
     )
-    return reconciler
 
 
 async def test_restarted_node_refuses_a_late_report_of_an_earlier_lifetime(
@@ -129,3 +135,51 @@
     assert read_state(reconciler) is member.TargetState.LEAVING
     assert send(reconciler, 4, born=9, state="draining")
     assert read_state(reconciler) is member.TargetState.LEAVING
+
+
+@pytest.mark.parametrize("state", [member.TargetState.LEAVING, member.TargetState.GONE])
+@pytest.mark.parametrize("is_read_first", [True, False])
+async def test_late_reports_of_a_target_that_left_before_the_restart(
+    autojump_clock: trio.testing.MockClock, state: member.TargetState, is_read_first: bool
+) -> None:
+    """Guards against new work for a target whose leave only the ended process has seen."""
+    reconciler = build_reconciler()
+    if not is_read_first:
+        # The store answers after the report has arrived.
+        assert send(reconciler, 3, born=9)
+    read_own_row(reconciler, born=9, state=state)
+    for sequence in (4, 5, 6):
+        assert send(reconciler, sequence, born=9)
+        assert not node_module.is_open(reconciler.node)
+    announced = node_module.build_member(reconciler.node)
+    assert announced is not None and announced.state is state
+    is_member = reconciler.node.place.node in reconciler.node.members
+    assert is_member is (state is member.TargetState.LEAVING)
+    # Earlier lifetimes under the same id are over, and the next one is another matter.
+    assert not send(reconciler, 90, born=5)
+    assert send(reconciler, 1, born=12)
+    assert node_module.is_open(reconciler.node)
+
+
+async def test_late_report_of_an_earlier_lifetime_before_the_own_row_is_read(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against freeing the keys of the present lifetime, which the row names."""
+    reconciler = build_reconciler()
+    assert send(reconciler, 40, born=5)
+    read_own_row(reconciler, born=9, state=member.TargetState.READY)
+    assert reconciler.node.target is not None
+    assert reconciler.node.target.lifetime == f"{NAME}@9"
+    assert not send(reconciler, 41, born=5)
+    assert send(reconciler, 3, born=9)
+
+
+async def test_leaving_target_that_refuses_connections_stays_gone(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against removing the row of a target that has said that it leaves."""
+    reconciler = build_reconciler()
+    assert send(reconciler, 1, state="draining")
+    node_module.set_target_gone(reconciler.node, "refuses connections", is_dead=True)
+    announced = node_module.build_member(reconciler.node)
+    assert announced is not None and announced.has_left is True
--- a/tests/platform/test_restart.py
+++ b/tests/platform/test_restart.py
@@ -1,6 +1,8 @@
 """Tests of nodes whose process is restarted beside a running target."""
 
+import msgspec
 import pytest
+from returns import result
 import trio
 
 from ebonyvalve.platform import daemon
@@ -61,23 +63,98 @@
         # No further report follows.
         leaving.heartbeat_s = 1000.0
         await trio.sleep(0.3)
-        leaving.state = "draining"
-        leave = http.Request(method="DELETE", path=f"/instances/{leaving.name}")
-        request = leave if state == "gone" else target_module.build_report(leaving)
-        assert await tell(mesh, request) < 1.0
+        assert await tell(mesh, build_leave(leaving, state)) < 1.0
         await restart(mesh, nursery, 0)
         mesh.state.faults.clear()
         await wait_open(mesh)
         leaving.received_ids.clear()
-        for address in mesh.outbound:
-            client = await mesh_module.open_client(address)
-            await mesh_module.wait_status(client, 200, "/orders/x")
-            for _ in range(20):
-                assert (await mesh_module.ask(client, "GET", "/orders/x"))[0] == 200
+        await ask_all(mesh)
         assert leaving.received_ids == []
         nursery.cancel_scope.cancel()
 
 
+async def deliver(target: target_module.Target, report: http.Request) -> None:
+    """Deliver a late report once the node listens; its answer reaches nobody."""
+
+    async def is_answered() -> bool:
+        address = target.reports_address
+        fetched = await http.fetch(network.connect_tcp, address, report, timeout_s=1.0)
+        return isinstance(fetched, result.Success)
+
+    await mesh_module.poll(is_answered)
+
+
+def build_leave(target: target_module.Target, state: str) -> http.Request:
+    """Return the message by which a target says that it leaves, or that it is gone."""
+    if state == "draining":
+        target.state = "draining"
+        return target_module.build_report(target)
+    body = msgspec.json.encode({"born": target.born_ms})
+    return http.Request(method="DELETE", path=f"/instances/{target.name}", body=body)
+
+
+@pytest.mark.parametrize("state", ["draining", "gone"])
+@pytest.mark.parametrize("restarted", [[0], [1, 0], [0, 0]], ids=str)
+async def test_late_reports_after_a_restart_do_not_revive_a_target_that_left(
+    state: str, restarted: list[int]
+) -> None:
+    """Guards against new work for a target whose leave was acknowledged before a restart."""
+    async with mesh_module.open_mesh(["orders", "orders"]) as mesh, trio.open_nursery() as nursery:
+        await wait_open(mesh)
+        leaving = mesh.targets[0]
+        leaving.heartbeat_s = 1000.0
+        await trio.sleep(0.3)
+        late = [target_module.build_report(leaving) for _ in range(3)]
+        await tell(mesh, build_leave(leaving, state))
+        for number in restarted:
+            await restart(mesh, nursery, number)
+        for report in late:
+            await deliver(leaving, report)
+        # The nodes read what has been announced meanwhile.
+        await trio.sleep(1.0)
+        leaving.received_ids.clear()
+        await ask_all(mesh)
+        assert leaving.received_ids == []
+        nursery.cancel_scope.cancel()
+
+
+async def test_leave_is_not_undone_by_an_earlier_write_that_the_store_applies_late() -> None:
+    """Guards against a row that says ready again when only an ended process knew of the leave."""
+    async with mesh_module.open_mesh(["orders", "orders"]) as mesh, trio.open_nursery() as nursery:
+        await wait_open(mesh)
+        leaving = mesh.targets[0]
+        key = ("mesh", "", "member/n0")
+        mesh.state.late_s = 8.0
+        mesh.state.faults[""] = metadata.Fault.LATE
+        # The node announces the change by a write that is applied 8 s later.
+        leaving.slots += 1
+        await trio.sleep(1.0)
+        applied_at = trio.current_time() + 8.0
+        mesh.state.faults.clear()
+        leaving.heartbeat_s = 1000.0
+
+        async def is_recorded() -> bool:
+            value = mesh.state.rows[key].value
+            return value is None or b'"ready"' not in value
+
+        leave = build_leave(leaving, "gone")
+        await http.fetch(network.connect_tcp, leaving.reports_address, leave, timeout_s=1.0)
+        await mesh_module.poll(is_recorded)
+        await restart(mesh, nursery, 0)
+        await trio.sleep_until(applied_at + 0.5)
+        assert await is_recorded()
+        nursery.cancel_scope.cancel()
+
+
+async def ask_all(mesh: mesh_module.Mesh) -> None:
+    """Send requests to all nodes once each of them serves some."""
+    for address in mesh.outbound:
+        client = await mesh_module.open_client(address)
+        await mesh_module.wait_status(client, 200, "/orders/x")
+        for _ in range(20):
+            assert (await mesh_module.ask(client, "GET", "/orders/x"))[0] == 200
+
+
 async def test_acknowledged_leave_needs_no_messages_while_the_store_answers(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/process/keyspace/test_reconciliation.py
+++ b/tests/process/keyspace/test_reconciliation.py
@@ -980,6 +980,35 @@
     assert world.violations == []
 
 
+async def test_row_of_a_target_that_left_is_kept_for_a_while(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against forgetting a leave with its row, and against rows that are never removed."""
+    world = await build_world(nursery)
+    left, other = world.machines[3], world.machines[0]
+    assert left.reconciler is not None and other.target is not None
+    left.target = None
+    node_module.set_target_gone(left.reconciler.node, "has left", is_dead=False)
+    await trio.sleep(2.0)
+    stop_node(left)
+    row = ("mesh", "", "member/n3")
+
+    async def change_announcement(state: member.TargetState) -> None:
+        assert other.target is not None
+        other.target.state = state
+        await trio.sleep(5.0)
+
+    await change_announcement(member.TargetState.LEAVING)
+    assert world.state.rows[row].value is not None
+    for machine in world.machines[:3]:
+        assert machine.reconciler is not None
+        assert identity.NodeId("n3") not in machine.reconciler.node.members
+    await trio.sleep(records.DEPARTED_RETENTION_S)
+    await change_announcement(member.TargetState.READY)
+    assert world.state.rows[row].value is None
+    assert world.violations == []
+
+
 FAULTS = ["kill-node", "crash-target", "restart-target", "freeze", "store", "store-some", "leave"]
 
 
--- a/tests/process/test_ramp.py
+++ b/tests/process/test_ramp.py
@@ -72,7 +72,7 @@
     report(node, 1, 0.0)
     own = node_module.build_member(node)
     assert own is not None
-    node_module.assume_target(node, own)
+    node_module.record_own_row(node, own)
     report(node, 1, 0.0)
     assert read_allowed(node) == SLOTS
 
