Record the leave of a target by the lifetime that it names

Cause: a leave was applied to the target that the process knew, by its id only. A process that had just started while the store was down knew none, answered 200 and recorded nothing; the row said ready when the store was back.

Why it works: the lifetime in the leave is the target's, whatever the node knows. It is compared with the row once that is read, and announced as gone. A leave of an earlier lifetime changes nothing.

Calls to the store: none.

--- a/src/ebonyvalve/platform/announcement.py
+++ b/src/ebonyvalve/platform/announcement.py
@@ -1,4 +1,4 @@
-"""Codec of the status reports that targets send to the node beside them, and of the answers.
+"""Codec of the status reports and leaves that targets send to the node beside them.
 
 The field names of the structs are the platform's.
 """
@@ -61,6 +61,12 @@
     released: list[tuple[decoding.KeySlot, decoding.KeySlot, Handover]] = []
 
 
+class LeaveDocument(msgspec.Struct, kw_only=True):
+    """The body of a leave. ``born`` is the Unix time of the target's start in milliseconds."""
+
+    born: StartedAtMs | None = None
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Announcement:
     """A decoded status report. ``started_at_ms`` orders the lifetimes of targets at one address."""
@@ -102,6 +108,21 @@
     )
 
 
+def decode_leave(name: str, body: bytes) -> LeaveDocument | str:
+    """Decode the leave of a target; return why it is invalid otherwise.
+
+    :param name: the target's id, from the path.
+    :param body: the leave, which may be empty.
+    """
+    if not body:
+        return LeaveDocument()
+    decoded = decoding.decode(body, LeaveDocument)
+    if not isinstance(decoded, result.Success):
+        return f"leave of {name[: decoding.MAX_CAUSE_CHARS]!r}: {decoded.failure()}"
+    wire: LeaveDocument = decoded.unwrap()
+    return wire
+
+
 def find_fault(wire: Document) -> str:
     """Return which text field of a report is invalid, or an empty string.
 
--- a/src/ebonyvalve/platform/reports.py
+++ b/src/ebonyvalve/platform/reports.py
@@ -4,7 +4,7 @@
 import logging
 
 from ebonyvalve.platform import announcement
-from ebonyvalve.process import decision, http, member, memory, network
+from ebonyvalve.process import decision, decoding, http, member, memory, network
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant, reconciliation, records
 
@@ -32,7 +32,7 @@
             issued = reconciliation.answer_report(reconciler)
             return http.Reply(status=200, body=announcement.encode(issued))
         if request.method == "DELETE":
-            reply = apply_leave(reconciler, name)
+            reply = apply_leave(reconciler, name, request.body)
             if is_leaving(reconciler.node):
                 await memory.share_departure(remembered, reconciler)
             return reply
@@ -100,18 +100,36 @@
         # The last report may have been a late one of an earlier lifetime.
         is_counted = node.grantor.lifetime == current.lifetime
         return is_counted and decoded.report.sequence <= node.grantor.sequence
-    # A restarted node knows only the name of its target's lifetime.
-    started_at_ms = current.started_at_ms or member.read_started_at(current.lifetime)
-    return decoded.started_at_ms < started_at_ms
+    return decoded.started_at_ms < node_module.read_started_at(current)
 
 
-def apply_leave(reconciler: records.Reconciler, name: str) -> http.Reply:
-    """Mark the target as gone if it reports that it is leaving.
+def apply_leave(reconciler: records.Reconciler, name: str, body: bytes) -> http.Reply:
+    """Mark a target as gone that reports that it is leaving.
+
+    The node may not know its lifetime yet: its process may have started while the store was down.
 
     :param reconciler: the node's state in the store's tables.
     :param name: the target's id.
+    :param body: the leave, which names the start of the lifetime.
     """
-    target = reconciler.node.target
-    if target is not None and member.read_target_id(target.lifetime) == name:
-        node_module.set_target_gone(reconciler.node, "has left", is_dead=False)
+    node = reconciler.node
+    decoded = announcement.decode_leave(name, body)
+    if isinstance(decoded, str) or not decoding.is_name(name):
+        decision.record(log, logging.WARNING, "leave-unreadable", cause=str(decoded))
+        return http.Reply(status=400, body=b"{}")
+    target = node.target
+    if decoded.born is None:
+        if target is None:
+            decision.record(log, logging.WARNING, "leave-unknown", target=name)
+            return http.Reply(status=503, body=b"{}")
+        if member.read_target_id(target.lifetime) == name:
+            node_module.record_leave(node, target.lifetime)
+        return http.Reply(status=200, body=b"{}")
+    lifetime = member.name_lifetime(name, decoded.born)
+    known_start_ms = -1 if target is None else node_module.read_started_at(target)
+    is_known = target is not None and target.lifetime == lifetime
+    if not is_known and decoded.born <= known_start_ms:
+        decision.record(log, logging.INFO, "leave-late", target=lifetime)
+        return http.Reply(status=200, body=b"{}")
+    node_module.record_leave(node, lifetime)
     return http.Reply(status=200, body=b"{}")
--- a/src/ebonyvalve/process/node.py
+++ b/src/ebonyvalve/process/node.py
@@ -476,6 +476,16 @@
     return node.departures.get(lifetime)
 
 
+def read_started_at(target: Target) -> int:
+    """Return the Unix time of a target's start in milliseconds, 0 if it is not known.
+
+    A restarted node knows only the name of its target's lifetime.
+
+    :param target: the target.
+    """
+    return target.started_at_ms or member.read_started_at(target.lifetime)
+
+
 def record_own_row(node: Node, announced: member.Member) -> None:
     """Update the target from the node's own row, which an ended process may have written.
 
@@ -494,8 +504,7 @@
             departure = member.Departure(lifetime=announced.lifetime, state=announced.state)
             record_departure(node, departure)
         return
-    started_at_ms = target.started_at_ms or member.read_started_at(target.lifetime)
-    if member.read_started_at(announced.lifetime) > started_at_ms:
+    if member.read_started_at(announced.lifetime) > read_started_at(target):
         decision.record(
             log,
             logging.INFO,
@@ -593,6 +602,24 @@
     return msgspec.structs.replace(announced, state=state)
 
 
+def record_leave(node: Node, lifetime: identity.Lifetime) -> None:
+    """Record that a target has said that it leaves, whether the process knows it or not.
+
+    :param node: the node.
+    :param lifetime: of the present target or of a later one.
+    """
+    target = node.target
+    if target is None or target.lifetime != lifetime:
+        node.target = Target(
+            lifetime=lifetime,
+            started_at_ms=member.read_started_at(lifetime),
+            slots=1 if target is None else target.slots,
+            state=member.TargetState.LEAVING,
+            reported_at=node.now(),
+        )
+    set_target_gone(node, "has left", is_dead=False)
+
+
 def set_target_gone(node: Node, reason: str, *, is_dead: bool) -> None:
     """Record that the target is gone.
 
--- a/tests/platform/test_reports.py
+++ b/tests/platform/test_reports.py
@@ -51,7 +51,7 @@
     """Guards against new work for a target whose last report arrives after it has left."""
     reconciler = build_reconciler()
     assert send(reconciler, 1)
-    reports.apply_leave(reconciler, NAME)
+    reports.apply_leave(reconciler, NAME, b"")
     send(reconciler, 2, state=late_state)
     assert read_state(reconciler) is member.TargetState.GONE
     assert not node_module.is_open(reconciler.node)
@@ -70,9 +70,9 @@
     reconciler = build_reconciler()
     assert send(reconciler, 1)
     if leaves_first:
-        reports.apply_leave(reconciler, NAME)
+        reports.apply_leave(reconciler, NAME, b"")
     node_module.set_target_gone(reconciler.node, "refuses connections", is_dead=True)
-    reports.apply_leave(reconciler, NAME)
+    reports.apply_leave(reconciler, NAME, b"")
     assert reconciler.node.target is not None and reconciler.node.target.is_dead
     send(reconciler, 2)
     assert not node_module.is_open(reconciler.node)
@@ -183,3 +183,70 @@
     node_module.set_target_gone(reconciler.node, "refuses connections", is_dead=True)
     announced = node_module.build_member(reconciler.node)
     assert announced is not None and announced.has_left is True
+
+
+def leave(reconciler: records.Reconciler, *, born: int) -> int:
+    """Send the leave of a target; return the status of the answer."""
+    body = msgspec.json.encode({"born": born})
+    return reports.apply_leave(reconciler, NAME, body).status
+
+
+async def test_leave_of_a_target_that_the_node_does_not_know(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against forgetting a leave that arrives before the node has read its row."""
+    reconciler = build_reconciler()
+    leave(reconciler, born=9)
+    read_own_row(reconciler, born=9, state=member.TargetState.READY)
+    assert not node_module.is_open(reconciler.node)
+    send(reconciler, 4, born=9)
+    assert not node_module.is_open(reconciler.node)
+    announced = node_module.build_member(reconciler.node)
+    assert announced is not None
+    assert announced.lifetime == f"{NAME}@9" and member.has_left(announced)
+
+
+async def test_late_leave_of_an_earlier_lifetime(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against ending the work of a target that started under the id of the last one."""
+    reconciler = build_reconciler()
+    assert send(reconciler, 1, born=9)
+    assert leave(reconciler, born=5) == 200
+    assert node_module.is_open(reconciler.node)
+    # The node may also hear of it before it reads its row.
+    restarted = build_reconciler()
+    leave(restarted, born=5)
+    read_own_row(restarted, born=9, state=member.TargetState.READY)
+    assert node_module.is_open(restarted.node)
+
+
+async def test_leave_of_a_later_lifetime_than_the_last_report(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against work for a target that leaves before its first report has arrived."""
+    reconciler = build_reconciler()
+    assert send(reconciler, 1, born=5)
+    leave(reconciler, born=9)
+    assert not node_module.is_open(reconciler.node)
+    assert not send(reconciler, 2, born=5)
+    send(reconciler, 1, born=9)
+    assert not node_module.is_open(reconciler.node)
+
+
+@pytest.mark.parametrize(
+    "body", [b"{", b"[]", b'{"born":"x"}', b'{"born":-1}', b'{"born":1e400}', b"[" * 100_000]
+)
+async def test_unreadable_leave(autojump_clock: trio.testing.MockClock, body: bytes) -> None:
+    """Guards against a message that ends the process, or the work of a sound target."""
+    reconciler = build_reconciler()
+    assert send(reconciler, 1)
+    assert reports.apply_leave(reconciler, NAME, body).status == 400
+    assert node_module.is_open(reconciler.node)
+
+
+async def test_leave_that_names_no_lifetime(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against acknowledging a leave of which the node can record nothing."""
+    reconciler = build_reconciler()
+    assert reports.apply_leave(reconciler, NAME, b"").status == 503
+    assert send(reconciler, 1)
+    assert reports.apply_leave(reconciler, NAME, b"").status == 200
+    assert not node_module.is_open(reconciler.node)
--- a/tests/platform/test_restart.py
+++ b/tests/platform/test_restart.py
@@ -7,6 +7,7 @@
 
 from ebonyvalve.platform import daemon
 from ebonyvalve.process import http, memory, network, push
+from ebonyvalve.process import node as node_module
 from ebonyvalve.process.load import crashes
 from ebonyvalve.request import crash
 from ebonyvalve.standin import metadata
@@ -118,6 +119,39 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_leave_at_a_node_that_starts_while_the_store_is_down() -> None:
+    """Guards against new work for a target that left before its node has read the row."""
+    async with mesh_module.open_mesh(["orders", "orders"]) as mesh, trio.open_nursery() as nursery:
+        await wait_open(mesh)
+        leaving = mesh.targets[0]
+        leaving.heartbeat_s = 1000.0
+        await trio.sleep(0.3)
+        mesh.state.faults[""] = metadata.Fault.BUSY
+        await restart(mesh, nursery, 0)
+        await deliver(leaving, build_leave(leaving, "gone"))
+        await trio.sleep(1.0)
+        mesh.state.faults.clear()
+        await wait_settled(mesh, nodes=1)
+        leaving.received_ids.clear()
+        await ask_all(mesh)
+        assert leaving.received_ids == []
+        nursery.cancel_scope.cancel()
+
+
+async def wait_settled(mesh: mesh_module.Mesh, *, nodes: int) -> None:
+    """Wait until all nodes know the store's rows, and that this many targets take work."""
+
+    async def check() -> bool:
+        return all(
+            running.node.is_mesh_known
+            and len(node_module.list_open_members(running.node, running.node.place.service))
+            == nodes
+            for running in mesh.daemons
+        )
+
+    await mesh_module.poll(check)
+
+
 async def test_leave_is_not_undone_by_an_earlier_write_that_the_store_applies_late() -> None:
     """Guards against a row that says ready again when only an ended process knew of the leave."""
     async with mesh_module.open_mesh(["orders", "orders"]) as mesh, trio.open_nursery() as nursery:
