Acknowledge a leave once the store has it

Cause: the acknowledgement was given once other nodes had been told, whose memory ends with their processes.

Evidence: after the restarts no node has a departure.

Why it works: an ack is given when the row says so, which every later process reads before it announces anything. Where there is no ack, the node remembers, tells the others, and records the leave when the store is back; a process that nobody can tell gives a silent target no work after two and a half heartbeats. A sound target reports within one.

Calls to the store: none more in calm.

--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -190,6 +190,7 @@
         incarnation=identity.Incarnation(secrets.token_hex(4)),
         wakeups=clock,
         now=now,
+        started_at=now(),
         draw=random.random,
         admission=admission.Controller(
             slots=1, cold_rate=0.0, uplink=link.Link(rate=place.link_rate)
--- a/src/ebonyvalve/platform/reports.py
+++ b/src/ebonyvalve/platform/reports.py
@@ -11,6 +11,9 @@
 log = logging.getLogger(__name__)
 
 REPORT_BYTES = 65_536
+OK = 200
+# The target reports again, or exits by itself.
+UNRECORDED = http.Reply(status=503, body=b"{}")
 
 
 def build_report_server(reconciler: records.Reconciler, remembered: memory.Memory) -> network.Serve:
@@ -26,21 +29,30 @@
             refusal = apply_report(reconciler, name, request.body)
             if refusal is not None:
                 return refusal
-            if is_leaving(reconciler.node):
-                await memory.share_departure(remembered, reconciler)
+            if not await is_acknowledged(reconciler, remembered):
+                return UNRECORDED
             await reconciliation.await_keys(reconciler)
             issued = reconciliation.answer_report(reconciler)
             return http.Reply(status=200, body=announcement.encode(issued))
         if request.method == "DELETE":
             reply = apply_leave(reconciler, name, request.body)
-            if is_leaving(reconciler.node):
-                await memory.share_departure(remembered, reconciler)
+            if reply.status == OK and not await is_acknowledged(reconciler, remembered):
+                return UNRECORDED
             return reply
         return http.Reply(status=404, body=b"{}")
 
     return functools.partial(http.serve, respond, max_bytes=REPORT_BYTES)
 
 
+async def is_acknowledged(reconciler: records.Reconciler, remembered: memory.Memory) -> bool:
+    """Return whether the target may be told that its report or leave was received.
+
+    :param reconciler: the node's state in the store's tables.
+    :param remembered: what nodes remember for each other.
+    """
+    return not is_leaving(reconciler.node) or await memory.record_departure(remembered, reconciler)
+
+
 def is_leaving(node: node_module.Node) -> bool:
     """Return whether the target beside this node is leaving or gone.
 
--- a/src/ebonyvalve/process/member.py
+++ b/src/ebonyvalve/process/member.py
@@ -12,7 +12,7 @@
     """Whether a target takes new work."""
 
     READY = "ready"
-    # Sends no reports and therefore can't own keys.
+    # Sends no reports and therefore can't own keys, or has sent none since its node restarted.
     SILENT = "silent"
     LEAVING = "leaving"
     GONE = "gone"
--- a/src/ebonyvalve/process/memory.py
+++ b/src/ebonyvalve/process/memory.py
@@ -19,8 +19,10 @@
 
 MEMORY_PATH = "/ebonyvalve/memory"
 DEPARTURE_PATH = "/ebonyvalve/departure"
-# How long the store is given to record a departure before the other nodes are told.
+# How long the store is given to record a departure before the other nodes are told, and before the
+# target is answered that it is not recorded. The target waits for 1 s.
 RECORD_WAIT_S = 0.15
+ANSWER_WAIT_S = 0.8
 # How many nodes are asked at a time, and how often until one has answered. All of them may have
 # started at the same moment.
 MAX_ASKED = 2
@@ -144,26 +146,47 @@
     return msgspec.json.encode(entries)
 
 
-async def share_departure(memory: Memory, reconciler: records.Reconciler) -> None:
-    """Tell the other nodes that the target leaves, unless the store records it soon.
+async def record_departure(memory: Memory, reconciler: records.Reconciler) -> bool:
+    """Wait until the store has it that the target leaves; return whether that was in time.
 
-    The target is answered afterwards, since the answer binds a restarted process as well.
+    An acknowledgement binds all later processes, and all nodes may restart while the store is down.
+    If the store does not record the departure soon, the other nodes are told, since callers must
+    not meet the target even if its leave is not acknowledged.
 
     :param memory: the state.
     :param reconciler: the node's rows in the store.
     """
     node = memory.node
+    answer_at = trio.current_time() + ANSWER_WAIT_S
     with trio.move_on_after(RECORD_WAIT_S):
-        while not registration.is_announced(reconciler):
-            await node.changed.wait()
+        await _wait_announced(reconciler)
     target = node.target
     if target is None or registration.is_announced(reconciler):
-        return
+        return True
     departure = member.Departure(lifetime=target.lifetime, state=target.state)
+    with trio.move_on_at(answer_at):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_share_departure, memory, departure)
+            await _wait_announced(reconciler)
+    is_recorded = registration.is_announced(reconciler)
+    if not is_recorded:
+        decision.record(
+            log, logging.WARNING, "leave-unrecorded", target=target.lifetime, state=target.state
+        )
+    return is_recorded
+
+
+async def _wait_announced(reconciler: records.Reconciler) -> None:
+    while not registration.is_announced(reconciler):
+        await reconciler.node.changed.wait()
+
+
+async def _share_departure(memory: Memory, departure: member.Departure) -> None:
+    """Tell the other nodes of the service that the target leaves."""
     await push.send(
-        node,
+        memory.node,
         memory.connect,
-        push.list_service_peers(node),
+        push.list_service_peers(memory.node),
         DEPARTURE_PATH,
         msgspec.json.encode(departure),
     )
--- a/src/ebonyvalve/process/node.py
+++ b/src/ebonyvalve/process/node.py
@@ -27,6 +27,8 @@
 
 # One lifetime for each machine of a large mesh, several times over.
 MAX_DEPARTURES = 4096
+# A target whose node has restarted reports within one interval; one of its reports may be lost.
+FIRST_REPORT_INTERVALS = 2.5
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -75,7 +77,7 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Node:
-    """The state that lives as long as the process.
+    """The state that lives as long as the process, since ``started_at`` in seconds on its clock.
 
     ``is_mesh_known`` is set once members and ledgers, and ``is_operator_state_known`` once the
     operator's rows have been read. ``is_informed`` is set once the process has asked the others
@@ -92,6 +94,7 @@
     incarnation: identity.Incarnation
     wakeups: timer.Timer
     now: collections.abc.Callable[[], float]
+    started_at: float
     draw: collections.abc.Callable[[], float]
     admission: admission.Controller
     grantor: grant.Grantor
@@ -407,16 +410,35 @@
     notify_changed(node)
 
 
+def is_trusted(node: Node) -> bool:
+    """Return whether the node knows well enough that its target has not left.
+
+    A target that is known from the node's row only may have left before the restart of the process.
+    Another node says so within milliseconds, and a target that has not left sends reports.
+
+    :param node: the node.
+    """
+    target = node.target
+    if target is None or not target.is_assumed:
+        return target is not None
+    due_at = node.started_at + FIRST_REPORT_INTERVALS * node.place.heartbeat_s
+    return node.is_informed and node.now() <= due_at
+
+
 def build_member(node: Node) -> member.Member | None:
-    """Return this node's announcement, or ``None`` before its target has reported.
+    """Return this node's announcement, or ``None`` before its target has reported or is silent.
 
     :param node: the node.
     """
     target = node.target
-    if target is None or target.is_assumed:
+    if target is None:
+        return None
+    is_ready = target.state is member.TargetState.READY
+    if target.is_assumed and not (target.is_silent and is_ready):
         return None
-    # A target whose reports do not come through holds no keys, but still does work without keys.
-    is_keyless = target.is_silent and target.state is member.TargetState.READY and is_keyed(node)
+    # A target whose reports do not come through holds no keys, but still does work without keys if
+    # it has reported to this process.
+    is_silent = target.is_silent and is_ready and (is_keyed(node) or target.is_assumed)
     return member.Member(
         node=node.place.node,
         address=node.place.peers_address,
@@ -424,7 +446,7 @@
         service=node.place.service,
         lifetime=target.lifetime,
         slots=target.slots,
-        state=member.TargetState.SILENT if is_keyless else target.state,
+        state=member.TargetState.SILENT if is_silent else target.state,
         era=era.stamp(node.eras),
         has_left=target.has_left or msgspec.UNSET,
     )
--- a/src/ebonyvalve/request/delivery.py
+++ b/src/ebonyvalve/request/delivery.py
@@ -294,8 +294,7 @@
     target = node.target
     if target is None or target.is_dead:
         return Completion(result=outcome.refuse(outcome.Reason.NO_TARGET), retry_after_s=0.5)
-    if target.is_assumed and not node.is_informed:
-        # It may have left before the restart. Another node says so within milliseconds.
+    if not node_module.is_trusted(node):
         return Completion(
             result=outcome.refuse(outcome.Reason.NO_TARGET), retry_after_s=GRANT_RETRY_S
         )
--- a/tests/platform/change.py
+++ b/tests/platform/change.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import functools
+import math
 
 import h11
 import msgspec
@@ -165,9 +166,10 @@
             slots=2,
             state=member.TargetState.READY,
             reported_at=0.0,
-            # The keys of its ledger count as granted.
+            # The keys of its ledger count as granted, and its first report is never overdue.
             is_assumed=True,
         )
+        running.node.started_at = math.inf
         node_module.set_target(running.node, target, 0.0)
         nursery.start_soon(timer.run, running.timer)
         nursery.start_soon(delivery.run_queue, running.origin.delivery)
--- a/tests/platform/test_reports.py
+++ b/tests/platform/test_reports.py
@@ -1,7 +1,10 @@
 """Tests of status reports that arrive late, after the node or the target has moved on."""
 
+import dataclasses
+
 import msgspec
 import pytest
+import trio
 import trio.testing
 
 from ebonyvalve.platform import reports
@@ -250,3 +253,28 @@
     assert send(reconciler, 1)
     assert reports.apply_leave(reconciler, NAME, b"").status == 200
     assert not node_module.is_open(reconciler.node)
+
+
+async def test_target_that_does_not_report_after_a_restart(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against work for a target that left unheard, and against refusing a sound one."""
+    reconciler = build_restarted(born=9, state=member.TargetState.READY)
+    node = reconciler.node
+    node.started_at = node.now()
+    node.is_informed = True
+    node.place = dataclasses.replace(node.place, heartbeat_s=1.0)
+    # One report may be lost.
+    await trio.sleep(2.4)
+    assert node_module.is_trusted(node)
+    await trio.sleep(0.2)
+    assert not node_module.is_trusted(node)
+    # The other nodes learn of it, and that it is back.
+    await trio.sleep(5.0)
+    node_module.record_silence(node)
+    announced = node_module.build_member(node)
+    assert announced is not None and announced.state is member.TargetState.SILENT
+    assert send(reconciler, 3, born=9)
+    assert node_module.is_trusted(node)
+    announced = node_module.build_member(node)
+    assert announced is not None and announced.state is member.TargetState.READY
--- a/tests/process/keyspace/test_reconciliation.py
+++ b/tests/process/keyspace/test_reconciliation.py
@@ -164,6 +164,7 @@
         incarnation=identity.Incarnation(str(next(world.start_numbers))),
         wakeups=wakeups,
         now=now,
+        started_at=now(),
         draw=rng.random,
         admission=admission.Controller(slots=1, cold_rate=0.0),
         grantor=grant.start(now=now(), max_hold_s=grant.choose_hold(HEARTBEAT_S)),
--- a/tests/request/test_origin.py
+++ b/tests/request/test_origin.py
@@ -45,6 +45,7 @@
         incarnation=identity.Incarnation("a"),
         wakeups=wakeups,
         now=trio.current_time,
+        started_at=0.0,
         draw=lambda: 0.5,
         admission=admission.Controller(slots=1, cold_rate=0.0),
         grantor=grant.start(now=0.0, max_hold_s=4.0),
