Handle a conflict over an own row that is missing, and name the wait for an ack

A condition on a row that another node has removed was answered with a missing row, whose empty value was taken for an unreadable one. The lenders' view of members is tested with the row of a target that has left.

--- a/src/ebonyvalve/platform/reports.py
+++ b/src/ebonyvalve/platform/reports.py
@@ -4,7 +4,7 @@
 import logging
 
 from ebonyvalve.platform import announcement
-from ebonyvalve.process import decision, decoding, http, member, memory, network
+from ebonyvalve.process import decision, decoding, http, identity, member, memory, network
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import grant, reconciliation, records
 
@@ -29,14 +29,14 @@
             refusal = apply_report(reconciler, name, request.body)
             if refusal is not None:
                 return refusal
-            if not await is_acknowledged(reconciler, remembered):
+            if not await may_acknowledge(reconciler, remembered):
                 return UNRECORDED
             await reconciliation.await_keys(reconciler)
             issued = reconciliation.answer_report(reconciler)
             return http.Reply(status=200, body=announcement.encode(issued))
         if request.method == "DELETE":
             reply = apply_leave(reconciler, name, request.body)
-            if reply.status == OK and not await is_acknowledged(reconciler, remembered):
+            if reply.status == OK and not await may_acknowledge(reconciler, remembered):
                 return UNRECORDED
             return reply
         return http.Reply(status=404, body=b"{}")
@@ -44,8 +44,10 @@
     return functools.partial(http.serve, respond, max_bytes=REPORT_BYTES)
 
 
-async def is_acknowledged(reconciler: records.Reconciler, remembered: memory.Memory) -> bool:
-    """Return whether the target may be told that its report or leave was received.
+async def may_acknowledge(reconciler: records.Reconciler, remembered: memory.Memory) -> bool:
+    """Return whether a report or leave may be acknowledged, after waiting for the store.
+
+    What it says of the target's end binds all later processes, so that the store must have it.
 
     :param reconciler: the node's state in the store's tables.
     :param remembered: what nodes remember for each other.
@@ -138,10 +140,14 @@
             node_module.record_leave(node, target.lifetime)
         return http.Reply(status=200, body=b"{}")
     lifetime = member.name_lifetime(name, decoded.born)
-    known_start_ms = -1 if target is None else node_module.read_started_at(target)
-    is_known = target is not None and target.lifetime == lifetime
-    if not is_known and decoded.born <= known_start_ms:
+    if target is not None and _is_earlier(lifetime, target):
         decision.record(log, logging.INFO, "leave-late", target=lifetime)
         return http.Reply(status=200, body=b"{}")
     node_module.record_leave(node, lifetime)
     return http.Reply(status=200, body=b"{}")
+
+
+def _is_earlier(lifetime: identity.Lifetime, target: node_module.Target) -> bool:
+    """Return whether a lifetime has ended before that of the present target began."""
+    is_other = lifetime != target.lifetime
+    return is_other and member.read_started_at(lifetime) <= node_module.read_started_at(target)
--- a/src/ebonyvalve/process/node.py
+++ b/src/ebonyvalve/process/node.py
@@ -82,12 +82,11 @@
     ``is_mesh_known`` is set once members and ledgers, and ``is_operator_state_known`` once the
     operator's rows have been read. ``is_informed`` is set once the process has asked the others
     what they remember. ``departures`` has the targets that were leaving while the store could not
-    record it, and the one beside this node if its row says so.
-    ``is_stopping`` means that callers are sent to other nodes,
-    ``is_ending`` that this process sends no more work to the target. ``closed_at`` is when the
-    target last stopped taking new work, in seconds on the node's clock. ``changed`` is set and
-    replaced by a new event on every state change that other tasks may wait for. ``draw`` returns
-    random numbers from 0 to 1.
+    record it, and the one beside this node if its row says so. ``is_stopping`` means that callers
+    are sent to other nodes, ``is_ending`` that this process sends no more work to the target.
+    ``closed_at`` is when the target last stopped taking new work, in seconds on the node's clock.
+    ``changed`` is set and replaced by a new event on every state change that other tasks may wait
+    for. ``draw`` returns random numbers from 0 to 1.
     """
 
     place: place.Place
--- a/tests/platform/test_reports.py
+++ b/tests/platform/test_reports.py
@@ -11,7 +11,8 @@
 from ebonyvalve.process import identity, member
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import records
-from tests.process.keyspace import test_records
+from ebonyvalve.standin import metadata
+from tests.process.keyspace import test_reconciliation, test_records
 
 NAME = "i-1"
 
@@ -278,3 +279,22 @@
     assert node_module.is_trusted(node)
     announced = node_module.build_member(node)
     assert announced is not None and announced.state is member.TargetState.READY
+
+
+async def test_own_row_that_another_node_removed_is_written_again(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against an announcement whose condition never holds again."""
+    world = await test_reconciliation.build_world(nursery)
+    key = ("mesh", "", "member/n1")
+    machine = world.machines[1]
+    assert machine.reconciler is not None and machine.target is not None
+    world.state.faults["n1"] = metadata.Fault.BUSY
+    metadata.put(world.state, "mesh", "member/n1", None)
+    machine.target.state = member.TargetState.LEAVING
+    await trio.sleep(2.0)
+    world.state.faults.clear()
+    await trio.sleep(3.0)
+    value = world.state.rows[key].value
+    assert value is not None
+    assert member.decode(value).unwrap().state is member.TargetState.LEAVING
--- a/tests/process/quota/test_exchange.py
+++ b/tests/process/quota/test_exchange.py
@@ -1,6 +1,7 @@
 """Tests of requests that wait for allowance, and of the messages between nodes."""
 
 import collections.abc
+import dataclasses
 import functools
 
 import msgspec
@@ -318,3 +319,23 @@
         assert set(exchanged.members.zones) == {second}
 
     trio.run(check)
+
+
+def test_node_whose_target_has_left_lends_no_more() -> None:
+    """Guards against asking a node for allowance whose row is kept after its target has left."""
+
+    async def answer(_: identity.Address, __: str, ___: bytes) -> None:
+        return None
+
+    async def check() -> None:
+        exchanged = build_exchange(answer)
+        first, second = OTHERS[:2]
+        read_members(exchanged, build_row(first, 1), build_row(second, 2))
+        row = build_row(first, 3)
+        left = msgspec.structs.replace(
+            member.decode(row.value).unwrap(), state=member.TargetState.GONE, has_left=True
+        )
+        read_members(exchanged, dataclasses.replace(row, value=member.encode(left)), is_whole=False)
+        assert set(exchanged.members.zones) == {second}
+
+    trio.run(check)
