--- a/src/ebonyvalve/platform/reports.py
+++ b/src/ebonyvalve/platform/reports.py
@@ -52,7 +52,7 @@
     :param reconciler: the node's state in the store's tables.
     :param remembered: what nodes remember for each other.
     """
-    return not is_leaving(reconciler.node) or await memory.record_departure(remembered, reconciler)
+    return not is_leaving(reconciler.node) or await memory.confirm_departure(remembered, reconciler)
 
 
 def is_leaving(node: node_module.Node) -> bool:
--- a/src/ebonyvalve/process/memory.py
+++ b/src/ebonyvalve/process/memory.py
@@ -146,7 +146,7 @@
     return msgspec.json.encode(entries)
 
 
-async def record_departure(memory: Memory, reconciler: records.Reconciler) -> bool:
+async def confirm_departure(memory: Memory, reconciler: records.Reconciler) -> bool:
     """Wait until the store has it that the target leaves; return whether that was in time.
 
     An acknowledgement binds all later processes, and all nodes may restart while the store is down.
--- a/src/ebonyvalve/process/quota/exchange.py
+++ b/src/ebonyvalve/process/quota/exchange.py
@@ -130,7 +130,7 @@
 def _list_zones(exchange: Exchange) -> ranking.Zones:
     """Return the members without this node if its target is gone.
 
-    Another node lends in its place as soon as it reads so.
+    Another node lends in its place as soon as it has read the row.
     """
     if not _is_leaving(exchange.node):
         return exchange.members.zones
