Log which request closed a connection and how many dropped ones were passed on

The line read-ahead-dropped did not say whose end closed the connection, nor that targets were running some of the requests that it counts as dropped.

--- a/src/ebonyvalve/request/ahead.py
+++ b/src/ebonyvalve/request/ahead.py
@@ -70,7 +70,7 @@
     if not _may_lead(hooks, conn, call):
         await wire.wait_for_hangup(conn)
         return
-    state = overlap.begin(conn, hooks.is_stopping, hooks.stats, hooks.usage)
+    state = overlap.begin(conn, call.request_id, hooks.is_stopping, hooks.stats, hooks.usage)
     session.overlap = state
     hooks.nursery.start_soon(run, hooks, state)
     await state.gone.wait()
@@ -208,7 +208,7 @@
         state.parked = overlap.Parked(head=wire.WireFailure.MALFORMED, arrived_at_s=arrived_at_s)
         return
     call.is_body_buffered = True
-    nursery.start_soon(_serve, hooks, state, overlap.add_slot(state), call)
+    nursery.start_soon(_serve, hooks, state, overlap.add_slot(state, call), call)
 
 
 def _find_complete(
--- a/src/ebonyvalve/request/overlap.py
+++ b/src/ebonyvalve/request/overlap.py
@@ -32,6 +32,7 @@
 
     conn: wire.Wire
     entry: pipeline.Entry
+    call: exchange.Call
     turn: trio.Event = dataclasses.field(default_factory=trio.Event)
     held: list[h11.Event] = dataclasses.field(default_factory=list)
     is_answered: bool = False
@@ -58,13 +59,14 @@
     state of the request that is read next, ``parked`` that request if it must run alone.
     ``has_last`` says that a request asked for the connection's close, ``closing`` is the state of
     the request whose end closed the connection. ``gone`` is set when the caller has left, ``ended``
-    when all tasks of the overlap have ended.
+    when all tasks of the overlap have ended. ``lead_id`` is the request id of ``lead``.
     """
 
     conn: wire.Wire
     is_stopping: collections.abc.Callable[[], bool]
     line: pipeline.Line
     lead: pipeline.Entry
+    lead_id: str
     stats: pipeline.Stats
     usage: buffering.Usage
     behind: bytearray
@@ -96,6 +98,7 @@
 
 def begin(
     conn: wire.Wire,
+    request_id: str,
     is_stopping: collections.abc.Callable[[], bool],
     stats: pipeline.Stats,
     usage: buffering.Usage,
@@ -103,6 +106,7 @@
     """Return the state of an overlap that is led by the current request of a connection.
 
     :param conn: the connection, behind whose current request bytes have been received.
+    :param request_id: the id of that request.
     :param is_stopping: returns whether answers ask callers to leave.
     :param stats: the counts of the node.
     :param usage: the bytes of answers that the node buffers and holds.
@@ -113,6 +117,7 @@
         is_stopping=is_stopping,
         line=line,
         lead=pipeline.add(line, stats),
+        lead_id=request_id,
         stats=stats,
         usage=usage,
         behind=bytearray(conn.http.trailing_data[0]),
@@ -120,12 +125,14 @@
     )
 
 
-def add_slot(overlap: Overlap) -> Slot:
+def add_slot(overlap: Overlap, call: exchange.Call) -> Slot:
     """Add the request that was read last to those that run.
 
     :param overlap: the state.
+    :param call: the request.
     """
-    slot = Slot(conn=overlap.following, entry=pipeline.add(overlap.line, overlap.stats))
+    entry = pipeline.add(overlap.line, overlap.stats)
+    slot = Slot(conn=overlap.following, entry=entry, call=call)
     overlap.has_last = slot.conn.http.their_state is not h11.DONE
     overlap.following = lookahead.open_next(overlap.conn)
     overlap.slots.append(slot)
@@ -156,8 +163,9 @@
     :param keeps_open: whether its answer was sent whole and leaves the connection open.
     """
     following = pipeline.finish(overlap.line, entry, keeps_open=keeps_open)
+    request_id = overlap.lead_id
     if overlap.slots and overlap.slots[0].entry is entry:
-        overlap.slots.popleft()
+        request_id = overlap.slots.popleft().call.request_id
     if following is pipeline.Next.ANSWER:
         overlap.slots[0].turn.set()
         overlap.pause_scope.cancel()
@@ -177,7 +185,9 @@
         log,
         logging.INFO,
         "read-ahead-dropped",
+        closed_by=request_id,
         running=len(overlap.slots),
+        passed_on=sum(slot.call.may_have_run for slot in overlap.slots),
         waiting=overlap.parked is not None,
         stopping=overlap.is_stopping(),
     )
--- a/tests/request/test_ahead.py
+++ b/tests/request/test_ahead.py
@@ -655,6 +655,36 @@
     assert not test_front_log.list_fields(caplog, "unanswered")
 
 
+@pytest.mark.parametrize("closing", [0, 1])
+async def test_line_about_dropped_requests_names_what_closed_the_connection(
+    autojump_clock: trio.testing.MockClock, caplog: pytest.LogCaptureFixture, closing: int
+) -> None:
+    """Guards against a line that hides that targets were running dropped requests, and why."""
+    caplog.set_level(logging.INFO)
+    async with open_world() as world:
+
+        async def close(call: exchange.Call, caller: exchange.Caller) -> outcome.Outcome:
+            number = int(call.key)
+            call.may_have_run = number < 4
+            with trio.move_on_after(1.0 if number <= closing else LIMIT_S):
+                await caller.wait_gone()
+            headers = [(b"content-length", b"0")]
+            await caller.reply(200, headers + [(b"connection", b"close")] * (number == closing))
+            await caller.finish()
+            return outcome.Outcome(verdict=outcome.Verdict.ANSWERED, status=200)
+
+        world.listener.handle = close
+        data = [
+            write_request(str(number), extra=f"Ebonyvalve-Request-Id: id-{number}\r\n")
+            for number in range(5)
+        ]
+        await world.near.send_all(b"".join(data))
+        await receive_all(world)
+    (fields,) = test_front_log.list_fields(caplog, "read-ahead-dropped")
+    assert fields["closed_by"] == f"id-{closing}"
+    assert (fields["running"], fields["passed_on"]) == (4 - closing, 3 - closing)
+
+
 async def test_connection_without_pipelining_starts_no_tasks(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
