Log and count requests that were passed on and got no whole answer, by cause

Requests behind a closing answer had no line although targets ran them, and a cut request had none if its caller closed the connection before the node logged it. A connection now remembers when the node noticed its peer's close, which tells a caller that left from a node that closed. A request whose handling failed is recorded after its 502, so that one that was answered isn't counted.

--- a/src/ebonyvalve/connection/lookahead.py
+++ b/src/ebonyvalve/connection/lookahead.py
@@ -23,10 +23,12 @@
     try:
         data = bytes(await conn.stream.receive_some(wire.READ_BYTES))
     except (trio.BrokenResourceError, trio.ClosedResourceError):
-        return b""
+        data = b""
     if data:
         conn.received_bytes += len(data)
         record_arrival(conn, now)
+    else:
+        wire.record_left(conn)
     return data
 
 
--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -48,7 +48,8 @@
     write is cancelled, as the peer may have received a part of it. ``is_head_request`` says that
     the request that was read last asks for the head of a response only. ``is_draining`` is set when
     the last reply has been sent and further bytes of the peer are discarded. ``arrivals`` is set by
-    the first bytes that a server side reads behind a request that it is serving.
+    the first bytes that a server side reads behind a request that it is serving. ``left_at_s`` is
+    when the peer's close was noticed first, on Trio's clock.
     """
 
     stream: trio.abc.Stream
@@ -63,6 +64,7 @@
     # One task may read a body while another sends the response; both may have to write.
     sending: trio.Lock = dataclasses.field(default_factory=trio.Lock)
     arrivals: pipeline.Arrivals | None = None
+    left_at_s: float | None = None
 
 
 EventResult = result.Result[h11.Event | type[h11.PAUSED], WireFailure]
@@ -87,6 +89,15 @@
     return Wire(stream=stream, http=http)
 
 
+def record_left(wire: Wire) -> None:
+    """Remember that the peer has closed the connection.
+
+    :param wire: the connection.
+    """
+    if wire.left_at_s is None:
+        wire.left_at_s = trio.current_time()
+
+
 async def receive(wire: Wire) -> EventResult:
     """Return the next event of the connection.
 
@@ -117,7 +128,10 @@
         try:
             data = await wire.stream.receive_some(READ_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
+            record_left(wire)
             return result.Failure(WireFailure.CLOSED)
+        if not data:
+            record_left(wire)
         wire.events_since_yield = 0
         wire.received_bytes += len(data)
         wire.http.receive_data(bytes(data))
@@ -175,6 +189,17 @@
     return bool(poll.poll(0))
 
 
+def notice_close(wire: Wire) -> bool:
+    """Return whether the peer has closed the connection, and remember it if so.
+
+    :param wire: the connection.
+    """
+    is_closed = is_closed_by_peer(wire)
+    if is_closed:
+        record_left(wire)
+    return is_closed
+
+
 def is_quiet(wire: Wire) -> bool:
     """Return whether the peer neither closed an idle connection nor sent unsolicited bytes on it.
 
@@ -273,6 +298,7 @@
     except h11.LocalProtocolError:
         return result.Failure(WireFailure.MALFORMED)
     except (trio.BrokenResourceError, trio.ClosedResourceError):
+        record_left(wire)
         return result.Failure(WireFailure.CLOSED)
     return result.Success(None)
 
@@ -302,6 +328,7 @@
     """
     if wire.http.their_state is h11.SEND_BODY or not await read_until_closed(wire):
         await wait_for_hangup(wire)
+    record_left(wire)
 
 
 async def read_until_closed(wire: Wire) -> bool:
@@ -344,6 +371,7 @@
     with epoll:
         epoll.register(stream.socket.fileno(), select.EPOLLRDHUP)
         await trio.lowlevel.wait_readable(epoll.fileno())
+    record_left(wire)
 
 
 def recycle(wire: Wire) -> bool:
--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -51,6 +51,7 @@
     origin,
     outcome,
     reachability,
+    unanswered,
 )
 from ebonyvalve.version import traffic
 
@@ -263,6 +264,7 @@
         may_overlap=functools.partial(may_overlap, entry.current),
         pipelining=entry.pipelining,
         usage=entry.buffer_usage,
+        tracker=unanswered.Tracker(counts=node.request_counters.unanswered),
     )
     peers = front.Front(
         now=now,
@@ -273,6 +275,7 @@
         parse=dialect.build_parse(now),
         coalesces_head=True,
         max_connections=MAX_CONNECTIONS,
+        tracker=unanswered.Tracker(counts=node.request_counters.unanswered),
     )
     return Daemon(
         node=node,
--- a/src/ebonyvalve/process/observation/counters.py
+++ b/src/ebonyvalve/process/observation/counters.py
@@ -18,7 +18,8 @@
     ``requests`` counts requests by service, outcome and reason. ``latency`` has one count for each
     histogram bucket by service, the last for everything above the highest bound. ``latency_s`` is
     the sum of the latencies in seconds by service. ``quotas`` counts requests and messages of
-    client accounts with limits, by account and event.
+    client accounts with limits, by account and event. ``unanswered`` counts requests that were
+    passed on and ended without a whole answer, by listener and cause.
     """
 
     requests: collections.Counter[tuple[str, str, str]] = dataclasses.field(
@@ -29,6 +30,9 @@
     quotas: collections.Counter[tuple[str, str]] = dataclasses.field(
         default_factory=collections.Counter
     )
+    unanswered: collections.Counter[tuple[str, str]] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
 
 def count(counters: Counters, service: str, outcome: str, reason: str, took_s: float) -> None:
@@ -71,6 +75,14 @@
             for quota_labels, number in counters.quotas.items():
                 quota_count.add_metric(list(quota_labels), number)
             yield quota_count
+        unanswered_count = core.CounterMetricFamily(
+            f"{PREFIX}_unanswered",
+            "Requests that were passed on and ended without a whole answer",
+            labels=["listener", "cause"],
+        )
+        for unanswered_labels, number in counters.unanswered.items():
+            unanswered_count.add_metric(list(unanswered_labels), number)
+        yield unanswered_count
         request_time = core.HistogramMetricFamily(
             f"{PREFIX}_request_seconds", "Seconds to the end of a request", labels=["service"]
         )
--- a/src/ebonyvalve/request/ahead.py
+++ b/src/ebonyvalve/request/ahead.py
@@ -25,8 +25,8 @@
     ``parse`` returns a request or what is wrong with it, ``find_max_body`` the size in bytes up to
     which its body may be buffered, and ``may_overlap`` whether it may run more than once.
     ``nursery`` runs the requests and outlives all connections. ``handle`` answers a request, and
-    ``answer_failure`` one whose handling failed. ``record_unanswered`` logs a request without a
-    whole answer. ``stats`` and ``usage`` are those of the node.
+    ``answer_failure`` one whose handling failed. ``record_end`` records a request that ended, if it
+    has no whole answer. ``stats`` and ``usage`` are those of the node.
     """
 
     now: collections.abc.Callable[[], float]
@@ -39,7 +39,7 @@
         [exchange.Call, exchange.Caller], collections.abc.Awaitable[object]
     ]
     answer_failure: collections.abc.Callable[[exchange.Caller], collections.abc.Awaitable[None]]
-    record_unanswered: collections.abc.Callable[[wire.Wire, exchange.Call], None]
+    record_end: collections.abc.Callable[[overlap.Overlap, overlap.Slot], None]
     stats: pipeline.Stats
     usage: buffering.Usage
 
@@ -259,6 +259,4 @@
         await overlap.complete(state, slot)
     finally:
         overlap.discard(state, slot)
-        # Requests behind an answer that closes the connection count as not read.
-        if state.closing is None or state.closing is slot.conn:
-            hooks.record_unanswered(slot.conn, call)
+        hooks.record_end(state, slot)
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -16,7 +16,15 @@
 from ebonyvalve import errors
 from ebonyvalve.connection import lookahead, pipeline, wire
 from ebonyvalve.process import decision, identity
-from ebonyvalve.request import ahead, buffering, deadline, exchange, outcome, overlap
+from ebonyvalve.request import (
+    ahead,
+    buffering,
+    deadline,
+    exchange,
+    outcome,
+    overlap,
+    unanswered,
+)
 
 log = logging.getLogger(__name__)
 
@@ -30,9 +38,6 @@
 PREFIX_TIMEOUT_S = 10.0
 PREFIX_BYTES = 4096
 
-# States of a server whose reply hasn't been written to its end.
-INCOMPLETE_STATES = frozenset({h11.SEND_RESPONSE, h11.SEND_BODY, h11.ERROR})
-
 TOKEN_HEADER = b"ebonyvalve-token"
 DEADLINE_HEADER = b"ebonyvalve-deadline-ms"
 REQUEST_ID_HEADER = b"ebonyvalve-request-id"
@@ -99,8 +104,8 @@
     those ahead of it on its connection have been answered; without it or without ``nursery``, in
     which such requests run, they run one after the other. A nursery for all connections costs those
     without pipelining nothing. ``pipelining`` counts the requests that were read ahead, and
-    ``usage`` the bytes of answers that wait. ``hooks`` are built from these when the first request
-    is watched.
+    ``usage`` the bytes of answers that wait. ``tracker`` records the requests that end without
+    a whole answer. ``hooks`` are built from these when the first request is watched.
 
     While ``is_stopping``, answers say that the connection closes after them. While ``is_refusing``,
     requests are given to ``refuse`` as soon as their head was read, also those whose body was still
@@ -121,6 +126,7 @@
     nursery: trio.Nursery | None = None
     pipelining: pipeline.Stats = dataclasses.field(default_factory=pipeline.Stats)
     usage: buffering.Usage = dataclasses.field(default_factory=buffering.Usage)
+    tracker: unanswered.Tracker = dataclasses.field(default_factory=unanswered.Tracker)
     hooks: ahead.Hooks | None = None
     conns: set[wire.Wire] = dataclasses.field(default_factory=set)
     is_stopping: bool = False
@@ -172,6 +178,7 @@
         await _reply_error(conn, outcome.unknown(outcome.Reason.CONNECTION_LOST), "internal error")
     finally:
         front.conns.discard(conn)
+        unanswered.end_connection(front.tracker, conn)
         _record_unread(front, session)
         await wire.close(conn)
 
@@ -249,8 +256,14 @@
         return False
     try:
         is_open = await _answer(incoming, call)
-    finally:
-        _record_unanswered(incoming, call)
+    except Exception:
+        # serve() may still answer it.
+        front.tracker.failed[conn] = functools.partial(_record_end, incoming, call)
+        raise
+    except BaseException:
+        _record_end(incoming, call)
+        raise
+    _record_end(incoming, call)
     if session.overlap is None:
         return is_open
     is_open = await ahead.end(session, keeps_open=is_open)
@@ -281,18 +294,34 @@
     return await _finish_exchange(incoming)
 
 
-def _record_unanswered(incoming: Incoming, call: exchange.Call) -> None:
-    """Log a request whose connection this node closes before the reply is complete."""
+def _find_listener(front: Front) -> unanswered.Listener:
+    return unanswered.Listener.PEERS if front.is_hop else unanswered.Listener.CALLERS
+
+
+def _record_end(
+    incoming: Incoming,
+    call: exchange.Call,
+    *,
+    state: overlap.Overlap | None = None,
+    is_behind: bool = False,
+) -> None:
+    """Record a request that has ended, if its reply is not complete.
+
+    ``state`` is set for a request that was read ahead, and ``is_behind`` says that an earlier one
+    closed the connection.
+    """
     conn, front = incoming.conn, incoming.front
-    is_incomplete = conn.is_writing or conn.http.our_state in INCOMPLETE_STATES
-    if not is_incomplete or wire.is_closed_by_peer(conn):
+    if not unanswered.is_incomplete(conn):
         return
-    decision.record(
-        log,
-        logging.WARNING,
-        "unanswered",
-        id=call.request_id,
-        hop=front.is_hop,
+    session_conn = conn if state is None else state.conn
+    closing = None if state is None else state.closing
+    left_at_s = unanswered.find_left_at(session_conn, conn, closing)
+    unanswered.record(
+        front.tracker,
+        session_conn,
+        call,
+        unanswered.choose_cause(has_left=left_at_s is not None, is_behind=is_behind),
+        _find_listener(front),
         begun=conn.http.our_state is not h11.SEND_RESPONSE,
         body_read=call.is_body_buffered or incoming.is_body_read,
         stopping=front.is_stopping,
@@ -488,7 +517,7 @@
         await ahead.watch_caller(front.hooks, session, call)
 
     def is_gone() -> bool:
-        return wire.is_closed_by_peer(conn)
+        return wire.notice_close(conn)
 
     def is_reply_begun() -> bool:
         return conn.http.our_state is not h11.SEND_RESPONSE
@@ -522,8 +551,10 @@
     async def handle(call: exchange.Call, caller: exchange.Caller) -> None:
         await (front.refuse if front.is_refusing else front.handle)(call, caller)
 
-    def record_unanswered(conn: wire.Wire, call: exchange.Call) -> None:
-        _record_unanswered(Incoming(conn=conn, front=front, max_body_bytes=0), call)
+    def record_end(state: overlap.Overlap, slot: overlap.Slot) -> None:
+        is_behind = state.closing not in (None, slot.conn) or state.conn in front.tracker.failed
+        incoming = Incoming(conn=slot.conn, front=front, max_body_bytes=0)
+        _record_end(incoming, slot.call, state=state, is_behind=is_behind)
 
     return ahead.Hooks(
         now=front.now,
@@ -534,7 +565,7 @@
         nursery=nursery,
         handle=handle,
         answer_failure=_answer_failure,
-        record_unanswered=record_unanswered,
+        record_end=record_end,
         stats=front.pipelining,
         usage=front.usage,
     )
--- a/src/ebonyvalve/request/overlap.py
+++ b/src/ebonyvalve/request/overlap.py
@@ -237,7 +237,7 @@
         return slot.is_answered
 
     def is_gone() -> bool:
-        return wire.is_closed_by_peer(slot.conn)
+        return wire.notice_close(slot.conn)
 
     def is_reply_begun() -> bool:
         return slot.is_answered or slot.conn.http.our_state is not h11.SEND_RESPONSE
--- a/tests/platform/test_pipelining.py
+++ b/tests/platform/test_pipelining.py
@@ -129,6 +129,23 @@
         assert "ebonyvalve_pipelined_in_flight_3 1.0" in text
 
 
+async def test_metrics_count_requests_that_were_passed_on_and_not_answered() -> None:
+    """Guards against metrics that don't tell callers that leave from answers that a node cuts."""
+    async with mesh_module.open_mesh(["lookup", "orders"]) as mesh:
+        await test_gone.warm_up(mesh)
+        mesh.targets[0].work_s = 2 * WORK_S
+        stream = await network.connect_tcp(mesh.outbound[0])
+        await stream.send_all(b"".join(build_lookups("a", 3)))
+        await test_gone.wait_for(lambda: len(mesh.targets[0].received_ids) == 3)
+        await stream.aclose()
+        await test_gone.wait_for(lambda: not mesh.daemons[0].callers.conns)
+        request = http.Request(method="GET", path="/metrics")
+        reply = await http.fetch(network.connect_tcp, mesh.ready[0], request, timeout_s=5.0)
+        lines = reply.unwrap().body.decode().splitlines()
+        counts = [line for line in lines if line.startswith("ebonyvalve_unanswered_total{")]
+        assert counts == ['ebonyvalve_unanswered_total{cause="caller-left",listener="callers"} 3.0']
+
+
 @dataclasses.dataclass(kw_only=True)
 class Sent:
     """What became of requests: the status of each, 0 if unanswered, and when that was known.
--- a/tests/request/test_ahead.py
+++ b/tests/request/test_ahead.py
@@ -14,7 +14,7 @@
 
 from ebonyvalve import errors
 from ebonyvalve.connection import pipeline
-from ebonyvalve.request import buffering, exchange, front, outcome
+from ebonyvalve.request import buffering, exchange, front, outcome, unanswered
 from tests.request import test_front, test_front_log
 
 LIMIT_S = 100.0
@@ -656,10 +656,13 @@
 
 
 @pytest.mark.parametrize("closing", [0, 1])
-async def test_line_about_dropped_requests_names_what_closed_the_connection(
+async def test_requests_that_were_passed_on_behind_a_closing_answer_are_logged(
     autojump_clock: trio.testing.MockClock, caplog: pytest.LogCaptureFixture, closing: int
 ) -> None:
-    """Guards against a line that hides that targets were running dropped requests, and why."""
+    """Guards against requests that targets run and that end without a line or a count.
+
+    One that was not passed on counts as not read, as its caller may safely send it again.
+    """
     caplog.set_level(logging.INFO)
     async with open_world() as world:
 
@@ -680,9 +683,36 @@
         ]
         await world.near.send_all(b"".join(data))
         await receive_all(world)
+        counts = world.listener.tracker.counts
     (fields,) = test_front_log.list_fields(caplog, "read-ahead-dropped")
     assert fields["closed_by"] == f"id-{closing}"
     assert (fields["running"], fields["passed_on"]) == (4 - closing, 3 - closing)
+    lines = test_front_log.list_fields(caplog, "unanswered")
+    assert {line["id"] for line in lines} == {f"id-{number}" for number in range(closing + 1, 4)}
+    assert {(line["cause"], line["begun"]) for line in lines} == {(unanswered.Cause.BEHIND, False)}
+    assert counts == {("callers", "behind"): 3 - closing}
+
+
+async def test_failed_request_counts_as_answered_and_those_behind_it_do_not(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against counting a request that got a 502 as one without an answer."""
+    async with open_world() as world:
+
+        async def fail(call: exchange.Call, caller: exchange.Caller) -> outcome.Outcome:
+            call.may_have_run = True
+            with trio.move_on_after(1.0):
+                await caller.wait_gone()
+            if call.key == "0":
+                raise ValueError("planted")
+            await trio.sleep_forever()
+            raise AssertionError
+
+        world.listener.handle = fail
+        await world.near.send_all(write_request("0") + write_request("1"))
+        assert b"HTTP/1.1 502" in await receive_all(world)
+        await wait_until(lambda: not world.listener.conns)
+        assert world.listener.tracker.counts == {("callers", "behind"): 1}
 
 
 async def test_connection_without_pipelining_starts_no_tasks(
--- a/tests/request/test_front_log.py
+++ b/tests/request/test_front_log.py
@@ -8,7 +8,7 @@
 import trio
 import trio.testing
 
-from ebonyvalve.request import exchange, front, outcome
+from ebonyvalve.request import exchange, front, outcome, unanswered
 from tests.request import test_front
 
 PARTIAL = b"POST /a/b HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nhalf"
@@ -75,3 +75,99 @@
         await near.send_all(PARTIAL)
         await near.aclose()
     assert not list_fields(caplog, "unanswered") + list_fields(caplog, "request-unread")
+
+
+@pytest.mark.parametrize("is_passed_on", [False, True])
+async def test_request_that_the_node_cuts_is_counted_if_it_was_passed_on(
+    is_passed_on: bool, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a count that includes requests whose callers may safely send them again."""
+    listener = test_front.build_front()
+
+    async def wait(call: exchange.Call, __: exchange.Caller) -> outcome.Outcome:
+        call.may_have_run = is_passed_on
+        await trio.sleep_forever()
+        raise AssertionError
+
+    listener.handle = wait
+    near, far = open_pair()
+    async with near, trio.open_nursery() as nursery:
+        nursery.start_soon(functools.partial(front.serve, listener, far))
+        await near.send_all(test_front.GOOD)
+        await trio.testing.wait_all_tasks_blocked()
+        nursery.cancel_scope.cancel()
+    (fields,) = list_fields(caplog, "unanswered")
+    assert (fields["cause"], fields["passed_on"]) == (unanswered.Cause.CUT, is_passed_on)
+    assert listener.tracker.counts == ({("callers", "cut"): 1} if is_passed_on else {})
+
+
+async def test_close_that_was_not_noticed_hides_no_cut_answer(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against taking a cut for the work of a caller that closed after it."""
+    caplog.set_level(logging.INFO)
+    near, far = open_pair()
+    listener = test_front.build_front()
+
+    async def break_off(call: exchange.Call, caller: exchange.Caller) -> outcome.Outcome:
+        call.may_have_run = True
+        await caller.reply(200, [(b"content-length", b"10")])
+        await caller.write(b"half")
+        await near.aclose()
+        return outcome.unknown(outcome.Reason.CONNECTION_LOST)
+
+    listener.handle = break_off
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(functools.partial(front.serve, listener, far))
+        await near.send_all(test_front.GOOD)
+    (fields,) = list_fields(caplog, "unanswered")
+    assert (fields["cause"], fields["peer_closed"]) == (unanswered.Cause.CUT, True)
+    assert listener.tracker.counts == {("callers", "cut"): 1}
+
+
+@pytest.mark.parametrize("is_hop", [False, True])
+@pytest.mark.parametrize("notices", ["watch", "check", "write"])
+async def test_caller_that_leaves_during_its_only_request_is_counted(
+    is_hop: bool, notices: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against taking a caller that leaves for a cut, however the node notices it."""
+    caplog.set_level(logging.DEBUG)
+    near, far = open_pair()
+    listener = test_front.build_front()
+    listener.is_hop = is_hop
+
+    async def leave(call: exchange.Call, caller: exchange.Caller) -> outcome.Outcome:
+        call.may_have_run = True
+        await near.aclose()
+        if notices == "watch":
+            await caller.wait_gone()
+        elif notices == "check":
+            assert caller.is_gone()
+        else:
+            assert not await caller.reply(200, [(b"content-length", b"0")])
+        return outcome.unknown(outcome.Reason.CALLER_GONE)
+
+    listener.handle = leave
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(functools.partial(front.serve, listener, far))
+        await near.send_all(test_front.GOOD)
+    assert listener.tracker.counts == {("peers" if is_hop else "callers", "caller-left"): 1}
+    assert not list_fields(caplog, "unanswered")
+
+
+@pytest.mark.parametrize(
+    ("has_left", "is_behind", "cause", "logged"),
+    [
+        (False, False, unanswered.Cause.CUT, [False, True]),
+        (False, True, unanswered.Cause.BEHIND, [True]),
+        (True, False, unanswered.Cause.CALLER_LEFT, []),
+        (True, True, unanswered.Cause.CALLER_LEFT, []),
+    ],
+)
+def test_cause(
+    has_left: bool, is_behind: bool, cause: unanswered.Cause, logged: list[bool]
+) -> None:
+    """Guards against causes that overlap, and lines for requests that have one already."""
+    assert unanswered.choose_cause(has_left=has_left, is_behind=is_behind) is cause
+    passed_on = [ran for ran in (False, True) if unanswered.needs_line(cause, may_have_run=ran)]
+    assert passed_on == logged
