Log one line for a connection that its caller closes on unanswered requests

Callers that give up one request close the connection on which others wait. Nothing told that from requests that a node ends. The ids and times of the oldest and the newest request show which one had run out of time.

--- a/src/ebonyvalve/process/observation/output.py
+++ b/src/ebonyvalve/process/observation/output.py
@@ -13,7 +13,7 @@
 LINES_PER_S = 50.0
 BURST_LINES = 500.0
 # Only lines about single requests may be omitted. All others record a change of the node's state.
-LIMITED_EVENTS = frozenset({"request", "attempt", "unanswered", "request-unread"})
+LIMITED_EVENTS = frozenset({"request", "attempt", "unanswered", "request-unread", "caller-left"})
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -178,7 +178,7 @@
         await _reply_error(conn, outcome.unknown(outcome.Reason.CONNECTION_LOST), "internal error")
     finally:
         front.conns.discard(conn)
-        unanswered.end_connection(front.tracker, conn)
+        unanswered.end_connection(front.tracker, conn, front.now(), _find_listener(front))
         _record_unread(front, session)
         await wire.close(conn)
 
@@ -316,6 +316,8 @@
     session_conn = conn if state is None else state.conn
     closing = None if state is None else state.closing
     left_at_s = unanswered.find_left_at(session_conn, conn, closing)
+    if left_at_s is not None:
+        session_conn.left_at_s = left_at_s
     unanswered.record(
         front.tracker,
         session_conn,
--- a/src/ebonyvalve/request/unanswered.py
+++ b/src/ebonyvalve/request/unanswered.py
@@ -7,6 +7,7 @@
 import logging
 
 import h11
+import trio
 
 from ebonyvalve.connection import wire
 from ebonyvalve.process import decision
@@ -40,14 +41,16 @@
 class Tracker:
     """The requests of one listener that ended without a whole answer.
 
-    ``counts`` counts those that were passed on, by listener and cause. ``failed`` holds
-    functions that record a request whose handling has failed, by connection; they are called when
-    the answer that says so has been sent, as far as that is possible.
+    ``counts`` counts those that were passed on, by listener and cause. ``abandoned`` holds those
+    whose caller has left, by connection until that is closed. ``failed`` holds functions that
+    record a request whose handling has failed, by connection; they are called when the answer that
+    says so has been sent, as far as that is possible.
     """
 
     counts: collections.Counter[tuple[str, str]] = dataclasses.field(
         default_factory=collections.Counter
     )
+    abandoned: dict[wire.Wire, list[exchange.Call]] = dataclasses.field(default_factory=dict)
     failed: dict[wire.Wire, collections.abc.Callable[[], None]] = dataclasses.field(
         default_factory=dict
     )
@@ -75,7 +78,7 @@
 def needs_line(cause: Cause, *, may_have_run: bool) -> bool:
     """Return whether a request without a whole answer gets a log line of its own.
 
-    A caller that has left needs none. A request behind a closing answer that was not
+    A caller that leaves gets one for its connection. A request behind a closing answer that was not
     passed on counts as not read.
 
     :param cause: why the request was not answered.
@@ -93,6 +96,24 @@
     return min((at for at in times if at is not None), default=None)
 
 
+def summarize(calls: list[exchange.Call], at_s: float) -> dict[str, object]:
+    """Return the fields of the line about a caller that left.
+
+    :param calls: its requests without a whole answer, at least one.
+    :param at_s: when its close was noticed.
+    """
+    fields: dict[str, object] = {
+        "requests": len(calls),
+        "passed_on": sum(call.may_have_run for call in calls),
+    }
+    calls = sorted(calls, key=lambda call: call.arrived_at_s)
+    for name, call in (("oldest", calls[0]), ("newest", calls[-1])):
+        fields[f"{name}_id"] = call.request_id
+        fields[f"{name}_took_ms"] = int((at_s - call.arrived_at_s) * 1000)
+        fields[f"{name}_left_ms"] = int((call.deadline_at_s - at_s) * 1000)
+    return fields
+
+
 def record(
     tracker: Tracker,
     conn: wire.Wire,
@@ -112,6 +133,8 @@
     """
     if call.may_have_run:
         tracker.counts[listener.value, cause.value] += 1
+    if cause is Cause.CALLER_LEFT:
+        tracker.abandoned.setdefault(conn, []).append(call)
     if needs_line(cause, may_have_run=call.may_have_run):
         decision.record(
             log,
@@ -126,12 +149,28 @@
         )
 
 
-def end_connection(tracker: Tracker, conn: wire.Wire) -> None:
+def end_connection(tracker: Tracker, conn: wire.Wire, now_s: float, listener: Listener) -> None:
     """Record what is left to record of a connection, before it is closed.
 
     :param tracker: the state of the listener.
     :param conn: the connection.
+    :param now_s: the time on the node's clock.
+    :param listener: where its requests came from.
     """
     record_failed = tracker.failed.pop(conn, None)
     if record_failed is not None:
         record_failed()
+    calls = tracker.abandoned.pop(conn, None)
+    if calls is None:
+        return
+    # The node's clock may differ from Trio's clock.
+    noticed_at_s = conn.left_at_s
+    age_s = 0.0 if noticed_at_s is None else trio.current_time() - noticed_at_s
+    decision.record(
+        log,
+        # A node that gives up an attempt closes its connection, and logs the attempt itself.
+        logging.DEBUG if listener is Listener.PEERS else logging.INFO,
+        "caller-left",
+        hop=listener is Listener.PEERS,
+        **summarize(calls, now_s - age_s),
+    )
--- a/tests/process/observation/test_output.py
+++ b/tests/process/observation/test_output.py
@@ -46,6 +46,17 @@
     assert len(read_all(reader).splitlines()) < output.BURST_LINES
 
 
+def test_storm_of_callers_that_leave_is_cut() -> None:
+    """Guards against a log that callers flood by closing connections."""
+    reader, writer = os.pipe()
+    out = output.open_output(writer, lambda: 0.0)
+    output.configure(out, decision.LogForm.KEY_VALUE, "INFO")
+    log = logging.getLogger("ebonyvalve.test")
+    for _ in range(int(output.BURST_LINES) + 100):
+        decision.record(log, logging.INFO, "caller-left", requests=1)
+    assert len(read_all(reader).splitlines()) == output.BURST_LINES
+
+
 def test_full_pipe_is_never_waited_for() -> None:
     """A reader that has stopped reading must not block the node."""
     reader, writer = os.pipe()
--- a/tests/request/test_ahead.py
+++ b/tests/request/test_ahead.py
@@ -715,6 +715,43 @@
         assert world.listener.tracker.counts == {("callers", "behind"): 1}
 
 
+async def test_caller_that_leaves_has_one_line(
+    autojump_clock: trio.testing.MockClock, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against logs that can't tell a caller that leaves from a node that closes."""
+    caplog.set_level(logging.INFO)
+    async with open_world() as world:
+        plain = functools.partial(handle, world)
+
+        async def pass_on(call: exchange.Call, caller: exchange.Caller) -> outcome.Outcome:
+            call.may_have_run = call.key != "2"
+            return await plain(call, caller)
+
+        world.listener.handle = pass_on
+        for number in range(4):
+            extra = f"Ebonyvalve-Request-Id: id-{number}\r\n"
+            await world.near.send_all(write_request(str(number), LIMIT_S, extra=extra))
+            await trio.sleep(1.0)
+        await world.near.aclose()
+        await wait_until(lambda: not world.listener.conns)
+        assert world.listener.tracker.counts == {("callers", "caller-left"): 3}
+        assert not world.listener.tracker.abandoned
+    (fields,) = test_front_log.list_fields(caplog, "caller-left")
+    assert fields == {
+        "hop": False,
+        "requests": 4,
+        "passed_on": 3,
+        "oldest_id": "id-0",
+        "oldest_took_ms": 4000,
+        "oldest_left_ms": 56_000,
+        "newest_id": "id-3",
+        "newest_took_ms": 1000,
+        "newest_left_ms": 59_000,
+    }
+    assert not test_front_log.list_fields(caplog, "unanswered")
+    assert not test_front_log.list_fields(caplog, "read-ahead-dropped")
+
+
 async def test_connection_without_pipelining_starts_no_tasks(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
--- a/tests/request/test_front_log.py
+++ b/tests/request/test_front_log.py
@@ -123,14 +123,15 @@
     (fields,) = list_fields(caplog, "unanswered")
     assert (fields["cause"], fields["peer_closed"]) == (unanswered.Cause.CUT, True)
     assert listener.tracker.counts == {("callers", "cut"): 1}
+    assert not list_fields(caplog, "caller-left")
 
 
 @pytest.mark.parametrize("is_hop", [False, True])
 @pytest.mark.parametrize("notices", ["watch", "check", "write"])
-async def test_caller_that_leaves_during_its_only_request_is_counted(
+async def test_caller_that_leaves_during_its_only_request_is_logged(
     is_hop: bool, notices: str, caplog: pytest.LogCaptureFixture
 ) -> None:
-    """Guards against taking a caller that leaves for a cut, however the node notices it."""
+    """Guards against a line that needs pipelining, and nodes that end attempts as noise."""
     caplog.set_level(logging.DEBUG)
     near, far = open_pair()
     listener = test_front.build_front()
@@ -151,10 +152,31 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(functools.partial(front.serve, listener, far))
         await near.send_all(test_front.GOOD)
+    (fields,) = list_fields(caplog, "caller-left")
+    assert (fields["requests"], fields["passed_on"], fields["hop"]) == (1, 1, is_hop)
+    assert fields["oldest_id"] == fields["newest_id"]
+    (level,) = [entry.levelno for entry in caplog.records if entry.getMessage() == "caller-left"]
+    assert level == (logging.DEBUG if is_hop else logging.INFO)
     assert listener.tracker.counts == {("peers" if is_hop else "callers", "caller-left"): 1}
     assert not list_fields(caplog, "unanswered")
 
 
+async def test_caller_that_leaves_after_its_answer_is_not_logged(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against lines about callers that close connections without a request."""
+    caplog.set_level(logging.DEBUG)
+    near, far = open_pair()
+    listener = test_front.build_front()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(functools.partial(front.serve, listener, far))
+        await near.send_all(test_front.GOOD)
+        assert await test_front.receive_reply(near)
+        await near.aclose()
+    assert not list_fields(caplog, "caller-left")
+    assert not listener.tracker.counts
+
+
 @pytest.mark.parametrize(
     ("has_left", "is_behind", "cause", "logged"),
     [
