--- a/tests/request/test_closing_answers.py
+++ b/tests/request/test_closing_answers.py
@@ -19,7 +19,7 @@
     origin,
     outcome,
 )
-from tests.request import test_ahead, test_cut_answers, test_origin
+from tests.request import test_ahead, test_cut_answers, test_handler, test_origin
 
 ANSWERED = outcome.Outcome(verdict=outcome.Verdict.ANSWERED, status=200)
 # The time-out of the requests that have one.
@@ -289,3 +289,385 @@
         await world.near.send_all(b"".join(test_ahead.write_request(str(i), 1.0) for i in range(3)))
         received = await test_ahead.receive_all(world, b"internal error")
         assert test_ahead.list_names(received)[:2] == ["0", "1"]
+
+
+@pytest.mark.parametrize("position", [0, 1, 2])
+async def test_time_out_while_the_caller_reads_an_answer(
+    monkeypatch: pytest.MonkeyPatch, autojump_clock: trio.testing.MockClock, position: int
+) -> None:
+    """Guards against a whole answer that is cut in its write because its caller reads slowly."""
+    extra = ["", "", ""]
+    extra[position] = WITH_TIMEOUT
+    async with open_node(monkeypatch, _1=answer_after(0.5)) as node:
+        text = f"[{position}]".encode()
+        replace_send(node.far, stall_within(text, 2 * TIMEOUT_S))  # type: ignore[arg-type]
+        received = await ask_three(node.world, *extra)
+        assert test_ahead.list_names(received) == ["0", "1", "2"]
+        assert received.count(b"HTTP/1.1 200") == 3
+        assert count_outcomes(node) == {("answered", "none"): 3}
+
+
+@pytest.mark.parametrize("position", [0, 1, 2])
+async def test_caller_that_does_not_read_is_closed_in_the_end(
+    monkeypatch: pytest.MonkeyPatch, autojump_clock: trio.testing.MockClock, position: int
+) -> None:
+    """Guards against a connection, with a whole answer in memory, that a caller keeps for ever."""
+    async with open_node(monkeypatch) as node:
+        text = f"[{position}]".encode()
+        replace_send(node.far, stall_within(text, 1e6))  # type: ignore[arg-type]
+        node.world.nursery.start_soon(ask_three, node.world)
+        await trio.sleep(0.9 * test_ahead.LIMIT_S)
+        assert sorted(node.asked) == ["0", "1", "2"]
+        assert not node.world.listener.conns
+
+
+@pytest.mark.parametrize("position", [0, 1, 2])
+@pytest.mark.parametrize("size", [0, 10_000, MEDIUM])
+async def test_buffered_answer_that_breaks_off_is_replaced(
+    monkeypatch: pytest.MonkeyPatch,
+    autojump_clock: trio.testing.MockClock,
+    position: int,
+    size: int,
+) -> None:
+    """Guards against a target that breaks off and takes the answers behind its own with it."""
+    script = answer_after(0.5, build_answer("cut", size)[:-1], closes=True)
+    async with open_node(monkeypatch, **{f"_{position}": script}) as node:
+        received = await ask_three(node.world, until=b"[2]" if position < 2 else b"502")
+        names = [str(i) for i in range(3) if i != position]
+        assert test_ahead.list_names(received) == names
+        assert received.count(b"HTTP/1.1 502") == 1
+        assert node.asked.count(str(position)) == 2
+
+
+@pytest.mark.parametrize("is_begun", [False, True])
+async def test_lost_target_ends_one_request_only(
+    monkeypatch: pytest.MonkeyPatch, autojump_clock: trio.testing.MockClock, is_begun: bool
+) -> None:
+    """Guards against a lost connection to a target or node that closes the one of the caller."""
+    script = answer_after(0.5, b"HTTP/1.1 200 OK\r\n" if is_begun else b"", closes=True)
+    async with open_node(monkeypatch, _0=script, _1=script) as node:
+        received = await ask_three(node.world)
+        assert test_ahead.list_names(received) == ["2"]
+        assert received.count(b"HTTP/1.1 502") == 2
+
+
+@pytest.mark.parametrize("position", [0, 1])
+@pytest.mark.parametrize("is_node_full", [False, True])
+async def test_streamed_answer_that_breaks_off_ends_the_connection(
+    monkeypatch: pytest.MonkeyPatch,
+    autojump_clock: trio.testing.MockClock,
+    position: int,
+    is_node_full: bool,
+) -> None:
+    """Guards against bytes behind an incomplete answer, which its caller takes for a part of it.
+
+    It has begun at the caller, so that HTTP/1.1 leaves nothing but the close.
+    """
+    size = MEDIUM if is_node_full else LARGE
+    script = answer_after(0.5, build_answer("cut", size)[:-1], closes=True)
+    async with open_node(monkeypatch, **{f"_{position}": script}) as node:
+        usage = node.world.listener.usage
+
+        async def fill() -> None:
+            await trio.sleep(0.2)
+            usage.total_bytes += buffering.MAX_TOTAL_BYTES
+
+        if is_node_full:
+            node.world.nursery.start_soon(fill)
+        received = await ask_three(node.world)
+        assert test_ahead.list_names(received) == ["0", "cut"][1 - position :]
+        assert received.endswith(b"x")
+        assert node.world.listener.pipelining.dropped == 2 - position
+        if is_node_full:
+            usage.total_bytes -= buffering.MAX_TOTAL_BYTES
+
+
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(b"HTTP/1.1 204 No Content\r\n\r\n", id="204"),
+        pytest.param(b"HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n", id="204-length"),
+        pytest.param(b"HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", id="304-length"),
+        pytest.param(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", id="empty"),
+        pytest.param(
+            b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", id="close"
+        ),
+        pytest.param(b"HTTP/1.0 200 OK\r\n\r\n", id="end-of-connection"),
+        pytest.param(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", id="chunks"
+        ),
+        pytest.param(
+            b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+            id="100",
+        ),
+    ],
+)
+async def test_framing_of_an_answer_keeps_the_connection(
+    monkeypatch: pytest.MonkeyPatch,
+    autojump_clock: trio.testing.MockClock,
+    data: bytes,
+    method: str,
+) -> None:
+    """Guards against an answer without a body, or without a length, that closes the connection."""
+    script = answer_after(0.5, data, closes=data.startswith(b"HTTP/1.0"))
+    async with open_node(monkeypatch, _0=script, _1=script) as node:
+        received = await ask_three(node.world, method=method, until=b"Content-Length: 3")
+        received += await test_ahead.receive_all(node.world, b"]") if method == "GET" else b""
+        assert received.count(b"HTTP/1.1 ") == 3
+        assert b"502" not in received and test_ahead.CLOSES not in received.lower()
+        assert node.world.listener.pipelining.dropped == 0
+
+
+@pytest.mark.parametrize("position", [0, 1])
+async def test_answer_that_cannot_be_written_is_replaced(
+    autojump_clock: trio.testing.MockClock, position: int
+) -> None:
+    """Guards against a close, without any answer, instead of a refusal.
+
+    The body is longer than the head announces, so that no byte of the answer is written.
+    """
+    async with test_ahead.open_world() as world:
+        plain = functools.partial(test_ahead.handle, world)
+
+        async def answer_wrongly(call: exchange.Call, caller: exchange.Caller) -> outcome.Outcome:
+            if call.key != str(position):
+                return await plain(call, caller)
+            with trio.move_on_after(1.0):
+                await caller.wait_gone()
+            await caller.reply(200, [(b"content-length", b"3")])
+            await caller.write(b"more than three bytes")
+            await caller.finish()
+            return ANSWERED
+
+        world.listener.handle = answer_wrongly
+        received = await ask_three(world)
+        assert test_ahead.list_names(received) == [str(i) for i in range(3) if i != position]
+        assert received.count(b"HTTP/1.1 50") == 1
+
+
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+async def test_first_request_that_asks_for_the_close_is_the_only_one(
+    autojump_clock: trio.testing.MockClock, version: str
+) -> None:
+    """Guards against requests that run for nothing behind one whose answer is the last."""
+    async with test_ahead.open_world() as world:
+        first = test_ahead.write_request("0", 1.0, extra="Connection: close\r\n")
+        if version == "1.0":
+            first = b"GET /look/0/1.0/0 HTTP/1.0\r\n\r\n"
+        await world.near.send_all(first + test_ahead.write_request("1"))
+        assert test_ahead.list_names(await test_ahead.receive_all(world)) == ["0"]
+        assert set(world.started) == {"0"}
+
+
+async def test_request_of_http_1_0_behind_others_is_the_last(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a close that an old request asks for before those ahead are answered."""
+    async with test_ahead.open_world() as world:
+        await world.near.send_all(
+            test_ahead.write_request("0", 2.0)
+            + test_ahead.write_request("1", 1.0)
+            + b"GET /look/2/1.0/0 HTTP/1.0\r\n\r\n"
+            + test_ahead.write_request("3")
+        )
+        assert test_ahead.list_names(await test_ahead.receive_all(world)) == ["0", "1", "2"]
+        assert "3" not in world.started
+
+
+@pytest.mark.parametrize("is_whole", [False, True])
+@pytest.mark.parametrize("position", [0, 1])
+async def test_request_that_expects_100_continue(
+    autojump_clock: trio.testing.MockClock, position: int, is_whole: bool
+) -> None:
+    """Guards against a request that waits for 100 Continue and ends those around it."""
+    async with test_ahead.open_world() as world:
+        expecting = test_ahead.write_request(
+            str(position), 1.0, body=b"body", method="PUT", extra="Expect: 100-continue\r\n"
+        )
+        parts = [test_ahead.write_request(str(i), 1.0) for i in range(3)]
+        parts[position] = expecting
+        if is_whole:
+            await world.near.send_all(b"".join(parts))
+            received = await test_ahead.receive_all(world, b"[2]")
+        else:
+            await world.near.send_all(b"".join(parts[: position + 1])[:-4])
+            received = await test_ahead.receive_all(world, b"HTTP/1.1 100 \r\n\r\n")
+            await world.near.send_all(b"body" + b"".join(parts[position + 1 :]))
+            received += await test_ahead.receive_all(world, b"[2]")
+        assert test_ahead.list_names(received) == ["0", "1", "2"]
+        assert f"[{position}]body".encode() in received
+
+
+@pytest.mark.parametrize("position", [0, 1])
+async def test_end_of_the_process_while_an_answer_is_written(
+    monkeypatch: pytest.MonkeyPatch, autojump_clock: trio.testing.MockClock, position: int
+) -> None:
+    """Guards against whole answers that are lost because the one before them was being written."""
+    async with open_node(monkeypatch, _1=answer_after(0.1), _2=answer_after(60.0)) as node:
+        text = f"[{position}]".encode()
+        replace_send(node.far, stall_within(text, 0.5))  # type: ignore[arg-type]
+
+        async def end() -> None:
+            await trio.sleep(0.3)
+            front.announce_close(node.world.listener)
+            front.stop(node.world.listener)
+            origin.cut_off(node.entry)
+            front.cut_off(node.world.listener)
+
+        node.world.nursery.start_soon(end)
+        received = await ask_three(node.world, until=b"")
+        assert test_ahead.list_names(received) == ["0", "1"]
+        assert received.count(b"HTTP/1.1 200") == 2 and received.count(b"HTTP/1.1 502") == 1
+
+
+async def test_end_of_the_process_while_whole_answers_wait(
+    monkeypatch: pytest.MonkeyPatch, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against a whole answer that is lost when the one ahead of it is refused."""
+    streamed = answer_after(0.1, build_answer("2", LARGE))
+    async with open_node(monkeypatch, _0=answer_after(60.0), _2=streamed) as node:
+
+        async def end() -> None:
+            await trio.sleep(0.3)
+            origin.cut_off(node.entry)
+
+        node.world.nursery.start_soon(end)
+        received = await ask_three(node.world, until=b"stopping\n" + b"." * 9)
+        assert test_ahead.list_names(received) == ["1"]
+        # The last one was too large to be held, so that its producer waited.
+        assert received.count(b"HTTP/1.1 502") == 2
+
+
+async def test_producer_whose_time_out_passes_while_it_waits(
+    monkeypatch: pytest.MonkeyPatch, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against a part of an answer before the refusal that replaces it."""
+    scripts = {"_0": answer_after(3.0), "_1": answer_after(0.1, build_answer("cut", LARGE))}
+    async with open_node(monkeypatch, **scripts) as node:
+        received = await ask_three(node.world, "", WITH_TIMEOUT)
+        assert test_ahead.list_names(received) == ["0", "2"]
+        assert received.count(b"HTTP/1.1 502") + received.count(b"HTTP/1.1 504") == 1
+
+
+async def test_end_of_a_held_answer_takes_no_room(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a whole answer that is refused because the node had no room for its end."""
+    async with test_ahead.open_world() as world:
+        usage = world.listener.usage
+        usage.total_bytes = pipeline.MAX_NODE_BYTES - 100
+
+        async def answer_in_time(call: exchange.Call, caller: exchange.Caller) -> outcome.Outcome:
+            if call.key == "0":
+                with trio.move_on_after(3.0):
+                    await caller.wait_gone()
+            body = f"[{call.key}]".encode()
+            with trio.move_on_after(1.0) as scope:
+                await caller.reply(200, [(b"content-length", str(len(body)).encode())])
+                await caller.write(body)
+                # Answers of other connections.
+                usage.total_bytes += 200
+                await caller.finish()
+            usage.total_bytes -= 200
+            if scope.cancelled_caught:
+                await caller.reply(504, [(b"content-length", b"0")])
+                await caller.finish()
+            return ANSWERED
+
+        world.listener.handle = answer_in_time
+        await world.near.send_all(test_ahead.write_request("0") + test_ahead.write_request("1"))
+        received = await test_ahead.receive_all(world, b"[1]")
+        assert test_ahead.list_names(received) == ["0", "1"]
+        usage.total_bytes = 0
+
+
+@pytest.mark.parametrize("data", ANSWERS)
+async def test_time_out_after_the_last_byte_of_an_answer_to_a_node(
+    monkeypatch: pytest.MonkeyPatch, autojump_clock: trio.testing.MockClock, data: bytes
+) -> None:
+    """Guards against an answer that another node takes for one that broke off, and runs again."""
+
+    async def run(
+        _: object, call: exchange.Call, caller: exchange.Caller, **__: float
+    ) -> exchange.Completion:
+        context = attempt.AttemptContext(
+            pool=node.entry.peers,
+            address=identity.Address("target:1"),
+            extra_headers=[],
+            filter_reply=lambda status, headers: headers,
+            is_repeatable=True,
+        )
+        made = attempt.AttemptResult()
+        await attempt.run(context, call, caller, trio.current_time, made)
+        return attempt.conclude(made)
+
+    async def handle(call: exchange.Call, caller: exchange.Caller) -> outcome.Outcome:
+        set_rules(call)
+        return await origin.serve_hop(node.entry, call, caller)
+
+    monkeypatch.setattr(origin.delivery, "run", run)
+    async with open_node(monkeypatch, _0=answer_after(0.5, data)) as node:
+        node.world.listener.may_overlap = None
+        node.world.listener.handle = handle
+        end = data[-5:] if b"chunked" not in data else b"[NAME]"
+        replace_send(node.far, pass_time_after(autojump_clock, end, TIMEOUT_S))  # type: ignore[arg-type]
+        await node.world.near.send_all(test_ahead.write_request("0", extra=WITH_TIMEOUT))
+        received = await test_ahead.receive_all(node.world, end)
+        await node.world.near.send_all(test_ahead.write_request("1"))
+        received += await test_ahead.receive_all(node.world, b"[1]")
+        assert test_ahead.list_names(received) == ["NAME", "1"]
+        assert count_outcomes(node) == {("answered", "none"): 2}
+
+
+@pytest.mark.parametrize("text", [b"HTTP/1.1 200", b"[NAME]"])
+@pytest.mark.parametrize("data", ANSWERS[:2])
+async def test_time_out_within_an_answer_of_the_own_interface(
+    autojump_clock: trio.testing.MockClock, data: bytes, text: bytes
+) -> None:
+    """Guards against a whole answer that is cut between the writes of its head, body and end."""
+    async with trio.open_nursery() as nursery:
+        world = test_handler.build_world(nursery)
+
+        async def serve_target(stream: trio.abc.Stream) -> None:
+            while await stream.receive_some():
+                await stream.send_all(data)
+
+        world.serve_target = serve_target
+        near, far = trio.testing.memory_stream_pair()
+        replace_send(far, pass_time_after(autojump_clock, text, TIMEOUT_S))  # type: ignore[arg-type]
+        nursery.start_soon(front.serve, world.fronts[f"caller-{test_handler.HERE}"], far)
+        request = b"GET /calendrier/salle-1/slots HTTP/1.1\r\nHost: x\r\n\r\n"
+        received = b""
+        for _ in range(2):
+            with contextlib.suppress(trio.BrokenResourceError):
+                await near.send_all(request)
+            with trio.move_on_after(5.0):
+                while not received.endswith((b"[NAME]", b"[NAME]\r\n0\r\n\r\n")):
+                    part = bytes(await near.receive_some())
+                    if not part:
+                        break
+                    received += part
+            received += b"|"
+        assert test_ahead.list_names(received) == ["NAME", "NAME"]
+        nursery.cancel_scope.cancel()
+
+
+async def test_answer_before_the_end_of_the_request_is_counted_as_answered(
+    monkeypatch: pytest.MonkeyPatch, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against an answer that was sent whole and counts as a time-out.
+
+    The time-out passed after its end was written, while the task that passed on the rest of the
+    request's body was being cancelled.
+    """
+    data = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n[0]\r\n0\r\n\r\n"
+    async with open_node(monkeypatch, _0=answer_after(0.5, data)) as node:
+        change = pass_time_after(autojump_clock, b"0\r\n\r\n", TIMEOUT_S)
+        replace_send(node.far, change)  # type: ignore[arg-type]
+        head = test_ahead.write_request(
+            "0", method="PUT", extra=WITH_TIMEOUT + "Content-Length: 9000\r\n"
+        )
+        await node.world.near.send_all(head + b"b" * 5000)
+        received = await test_ahead.receive_all(node.world, b"0\r\n\r\n")
+        await trio.sleep(0.1)
+        assert test_ahead.list_names(received) == ["0"]
+        assert count_outcomes(node) == {("answered", "none"): 1}
