--- a/tests/request/test_closing_answers.py
+++ b/tests/request/test_closing_answers.py
@@ -10,7 +10,7 @@
 import trio.testing
 
 from ebonyvalve.connection import pipeline
-from ebonyvalve.process import identity
+from ebonyvalve.process import http, identity
 from ebonyvalve.request import (
     attempt,
     buffering,
@@ -19,7 +19,7 @@
     origin,
     outcome,
 )
-from tests.request import test_ahead, test_cut_answers, test_handler, test_origin
+from tests.request import test_ahead, test_cut_answers, test_front_log, test_handler, test_origin
 
 ANSWERED = outcome.Outcome(verdict=outcome.Verdict.ANSWERED, status=200)
 # The time-out of the requests that have one.
@@ -678,3 +678,103 @@
         assert test_ahead.list_names(received) == ["0"]
         await trio.sleep(0.1)
         assert count_outcomes(node) == {("answered", "none"): 1}
+
+
+@pytest.mark.parametrize("position", [0, 1])
+async def test_time_out_between_the_parts_of_a_whole_answer(
+    monkeypatch: pytest.MonkeyPatch, autojump_clock: trio.testing.MockClock, position: int
+) -> None:
+    """Guards against an answer that the node has whole, but cuts as it writes it in parts."""
+    extra = ["", "", ""]
+    extra[position] = WITH_TIMEOUT
+    script = answer_after(0.5, build_answer("NAME", 3 * MEDIUM))
+    async with open_node(monkeypatch, **{f"_{position}": script}) as node:
+        change = pass_time_after(autojump_clock, b"[NAME]", TIMEOUT_S)
+        replace_send(node.far, change)  # type: ignore[arg-type]
+        received = await ask_three(node.world, *extra)
+        assert received.count(b"x") == 3 * MEDIUM
+        assert test_ahead.list_names(received)[-1] == "2"
+
+
+@pytest.mark.parametrize("position", [0, 1])
+@pytest.mark.parametrize("data", [b"", build_answer("cut", 1000)[:-1]])
+async def test_time_out_before_an_answer_is_whole(
+    monkeypatch: pytest.MonkeyPatch,
+    autojump_clock: trio.testing.MockClock,
+    position: int,
+    data: bytes,
+) -> None:
+    """Guards against a time-out that closes the connection although a refusal is possible."""
+    extra = ["", "", ""]
+    extra[position] = WITH_TIMEOUT
+    script = answer_after(0.5, data)
+    async with open_node(monkeypatch, **{f"_{position}": script}) as node:
+        node.scripts["2"] = answer_after(3.0)
+        received = await ask_three(node.world, *extra)
+        assert test_ahead.list_names(received) == [str(i) for i in range(3) if i != position]
+        assert received.count(b"HTTP/1.1 50") == 1
+
+
+@pytest.mark.parametrize("kind", ["502", "400"])
+async def test_caller_that_does_not_read_a_refusal_is_closed_in_the_end(
+    monkeypatch: pytest.MonkeyPatch, autojump_clock: trio.testing.MockClock, kind: str
+) -> None:
+    """Guards against a connection that a caller keeps for ever by not reading a refusal."""
+    async with open_node(monkeypatch, _0=answer_after(0.5, b"", closes=True)) as node:
+        replace_send(node.far, stall_within(b"HTTP/1.1 " + kind.encode(), 1e6))  # type: ignore[arg-type]
+        data = test_ahead.write_request("0") if kind == "502" else b"nonsense\r\n\r\n"
+        await node.world.near.send_all(data)
+        await trio.sleep(0.9 * test_ahead.LIMIT_S)
+        assert not node.world.listener.conns
+
+
+async def test_dropped_requests_do_not_count_as_left_by_their_caller(
+    monkeypatch: pytest.MonkeyPatch,
+    autojump_clock: trio.testing.MockClock,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against log lines that blame the caller when the node closes the connection.
+
+    The producer of the second answer waits for its turn when the first answer breaks off.
+    """
+    script = answer_after(0.5, build_answer("cut", LARGE)[:-1], closes=True)
+    waiting = answer_after(0.1, build_answer("1", LARGE))
+    async with open_node(monkeypatch, _0=script, _1=waiting) as node:
+        await ask_three(node.world)
+        assert node.world.listener.pipelining.delayed == 1
+    causes = [fields["ended_by"] for fields in test_front_log.list_fields(caplog, "attempt")]
+    assert len(causes) == 2 and "caller" not in causes
+
+
+async def test_request_at_the_end_of_the_idle_time_is_answered(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against the time of an idle connection that ends a request which has just come."""
+    near, far = trio.testing.memory_stream_pair()
+
+    async def respond(_: http.Request) -> http.Reply:
+        await trio.sleep(1.0)
+        return http.Reply(status=200, body=b"[0]")
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(http.serve, respond, far)
+        await trio.sleep(http.IDLE_TIMEOUT_S - 0.5)
+        await near.send_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        received = bytes(await near.receive_some())
+        nursery.cancel_scope.cancel()
+    assert received.endswith(b"[0]")
+
+
+async def test_failed_message_is_answered(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a close, without an answer, when a message meets a failure of the node."""
+    near, far = trio.testing.memory_stream_pair()
+
+    async def respond(_: http.Request) -> http.Reply:
+        raise ValueError("planted")
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(http.serve, respond, far)
+        await near.send_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        received = bytes(await near.receive_some())
+        nursery.cancel_scope.cancel()
+    assert received.startswith(b"HTTP/1.1 500")
