--- a/tests/request/test_closing_answers.py
+++ b/tests/request/test_closing_answers.py
@@ -819,3 +819,36 @@
         assert received.count(b"HTTP/1.1 ") == 5
         for name in names[1:-1]:
             assert f"[{name}]{'x' * size}HTTP/1.1 ".encode() in received
+
+
+@pytest.mark.parametrize("position", [0, 1])
+async def test_caller_that_leaves_with_a_whole_answer_counts_as_answered(
+    monkeypatch: pytest.MonkeyPatch, autojump_clock: trio.testing.MockClock, position: int
+) -> None:
+    """Guards against an answer that counts as not wanted, as its caller closes at once behind it.
+
+    The close is seen before the bookkeeping of the answer's end.
+    """
+    async with open_node(monkeypatch) as node:
+        near = node.world.near
+        assert isinstance(near, trio.abc.HalfCloseableStream)
+        # Of requests that overlap, the first one ends late, so that the other is held whole.
+        node.scripts["0"] = answer_after(0.5)
+        text = f"[{position}]".encode()
+
+        def change(plain: Write) -> Write:
+            async def send_all(data: bytes) -> None:
+                await plain(data)
+                if text in bytes(data):
+                    await near.send_eof()
+                    with trio.CancelScope(shield=True):
+                        await trio.sleep(0.1)
+
+            return send_all
+
+        replace_send(node.far, change)
+        requests = [test_ahead.write_request(str(i)) for i in range(position + 1)]
+        await near.send_all(b"".join(requests))
+        received = await test_ahead.receive_all(node.world)
+        assert test_ahead.list_names(received) == [str(i) for i in range(position + 1)]
+        assert count_outcomes(node) == {("answered", "none"): position + 1}
