Deliver an answer that is whole, also when its deadline passes

Cause: a whole answer was sent in steps (head and body, end), each of which began with a check for a cancellation, so that a deadline between two of them undid an answer that was complete. The class is a step of the node's own that is taken for a fact about the caller.

Change: the sending of a whole buffered answer is shielded from the deadline, for 10 s at most and until the process ends. The end of a body that was streamed is written too; one that writes nothing is never cancelled. The outcome is "answered" whatever comes after.

--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -24,6 +24,9 @@
 # Offset and format of ``tcpi_last_data_recv`` in ``struct tcp_info`` of Linux, in milliseconds.
 LAST_DATA_OFFSET = 52
 LAST_DATA = struct.Struct("=I")
+# The end of a message whose body has been sent is written in this time, also if the request has
+# been cancelled meanwhile: without it, the peer would take the whole message for a part.
+MAX_END_S = 1.0
 # Value of SO_LINGER (``struct linger``) with which close() resets the connection.
 RESET_ON_CLOSE = struct.pack("=ii", 1, 0)
 
@@ -31,7 +34,7 @@
 class WireFailure(enum.Enum):
     """Why a message could not be read or written.
 
-    No function of this module returns ``TIMEOUT``; its callers bound the time themselves.
+    ``TIMEOUT`` is for writes only; callers of this module bound the time of reads themselves.
     """
 
     CLOSED = "closed"
@@ -266,8 +269,8 @@
     """Write events in one call of the stream; the body of a response to HEAD is left out.
 
     The result is :attr:`WireFailure.CLOSED` if the connection is closed or an earlier write was
-    cancelled, and :attr:`WireFailure.MALFORMED` if an event is not allowed in the connection's
-    state.
+    cancelled, :attr:`WireFailure.MALFORMED` if an event is not allowed in the connection's state,
+    and :attr:`WireFailure.TIMEOUT` if the peer does not take the end of a message.
 
     :param wire: the connection.
     :param events: the events to write, in order.
@@ -281,18 +284,21 @@
         try:
             if wire.is_writing:
                 return result.Failure(WireFailure.CLOSED)
-            # The last check for a cancellation before h11 counts the message as begun.
-            await trio.lowlevel.checkpoint_if_cancelled()
+            if wire.http.our_state is not h11.SEND_BODY:
+                # The last check for a cancellation before h11 counts the message as begun. Later
+                # events may write nothing, like the end of a body whose length was announced.
+                await trio.lowlevel.checkpoint_if_cancelled()
+            is_end = wire.http.our_state is h11.SEND_BODY and isinstance(
+                events[0], h11.EndOfMessage
+            )
             parts = [
                 wire.http.send(event)
                 for event in events
                 if not (wire.is_head_request and isinstance(event, h11.Data))
             ]
             data = b"".join(part for part in parts if part)
-            if data:
-                wire.is_writing = True
-                await wire.stream.send_all(data)
-                wire.is_writing = False
+            if data and not await _write(wire, data, is_end=is_end):
+                return result.Failure(WireFailure.TIMEOUT)
         finally:
             wire.sending.release()
     except h11.LocalProtocolError:
@@ -303,6 +309,19 @@
     return result.Success(None)
 
 
+async def _write(wire: Wire, data: bytes, *, is_end: bool) -> bool:
+    """Write bytes; return whether that was done in time, which is limited for ``is_end`` only."""
+    wire.is_writing = True
+    if not is_end:
+        await wire.stream.send_all(data)
+        wire.is_writing = False
+        return True
+    with trio.move_on_after(MAX_END_S, shield=True):
+        await wire.stream.send_all(data)
+        wire.is_writing = False
+    return not wire.is_writing
+
+
 async def send_continue(wire: Wire) -> bool:
     """Send ``100 Continue`` unless the response has begun; return whether the peer is connected.
 
--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -43,6 +43,7 @@
 from ebonyvalve.process.store import relay
 from ebonyvalve.request import (
     attempt,
+    buffering,
     crash,
     delivery,
     exchange,
@@ -175,6 +176,7 @@
         task_status.started(daemon)
         await received.stop.wait()
         await stop(daemon)
+        buffering.end_deliveries(daemon.origin.buffer_usage)
         nursery.cancel_scope.cancel()
     decision.record(log, logging.INFO, "stop", node=place.node)
 
--- a/src/ebonyvalve/request/buffering.py
+++ b/src/ebonyvalve/request/buffering.py
@@ -1,7 +1,11 @@
-"""Buffers replies until they are complete."""
+"""Buffers replies until they are complete, and delivers complete ones."""
 
+import collections.abc
+import contextlib
 import dataclasses
 
+import trio
+
 from ebonyvalve.request import exchange
 
 # Larger replies are streamed. A request whose reply breaks off while it is streamed can neither be
@@ -11,24 +15,37 @@
 # ``MIN_STREAMED_BYTES`` on.
 MAX_TOTAL_BYTES = 4 * 1_048_576
 MIN_STREAMED_BYTES = 65_536
+# Callers that read slowly have this long to take a complete reply, also after its deadline.
+MAX_DELIVERY_S = 10.0
 
 
 @dataclasses.dataclass(kw_only=True)
 class Usage:
-    """How many bytes of replies are buffered for all requests of a process."""
+    """How many bytes of replies are buffered for all requests of a process.
+
+    ``deliveries`` are the cancel scopes of the complete replies that are being sent. ``is_ending``
+    is set when the process is about to end and waits for them no longer.
+    """
 
     total_bytes: int = 0
+    deliveries: set[trio.CancelScope] = dataclasses.field(default_factory=set)
+    is_ending: bool = False
 
 
 @dataclasses.dataclass(kw_only=True)
 class Buffer:
-    """The buffered beginning of one reply. ``head`` is ``None`` before the reply has begun."""
+    """The buffered beginning of one reply.
+
+    ``head`` is ``None`` before the reply has begun. ``is_delivered`` says that the caller's end has
+    taken a complete reply.
+    """
 
     usage: Usage
     head: tuple[int, exchange.Headers] | None = None
     parts: list[bytes] = dataclasses.field(default_factory=list)
     size: int = 0
     is_streamed: bool = False
+    is_delivered: bool = False
 
 
 def clear(buffer: Buffer) -> None:
@@ -41,6 +58,32 @@
     buffer.size = 0
 
 
+@contextlib.contextmanager
+def _shield_delivery(usage: Usage) -> collections.abc.Iterator[None]:
+    """Shield the sending of a complete reply from the request's deadline.
+
+    If it were cancelled halfway, the caller's connection would have to be closed, and the requests
+    that were read ahead on it would go unanswered.
+    """
+    with trio.CancelScope(shield=not usage.is_ending) as scope:
+        scope.deadline = trio.current_time() + MAX_DELIVERY_S
+        usage.deliveries.add(scope)
+        try:
+            yield
+        finally:
+            usage.deliveries.discard(scope)
+
+
+def end_deliveries(usage: Usage) -> None:
+    """Make the sending of complete replies cancellable, at the end of the process.
+
+    :param usage: the state shared by all requests.
+    """
+    usage.is_ending = True
+    for scope in usage.deliveries:
+        scope.shield = False
+
+
 def buffer_reply(caller: exchange.Caller, buffer: Buffer) -> exchange.Caller:
     """Return a caller's end that buffers the beginning of a reply.
 
@@ -85,8 +128,10 @@
         return buffer.size < max_bytes or await begin()
 
     async def finish() -> bool:
-        if not buffer.is_streamed and not await begin():
-            return False
-        return await caller.finish()
+        if buffer.is_streamed:
+            return await caller.finish()
+        with _shield_delivery(buffer.usage):
+            buffer.is_delivered = await begin() and await caller.finish()
+        return buffer.is_delivered
 
     return dataclasses.replace(caller, reply=reply, write=write, finish=finish)
--- a/src/ebonyvalve/request/dispatch.py
+++ b/src/ebonyvalve/request/dispatch.py
@@ -154,6 +154,8 @@
             connection, call, caller, filter_reply, attempt, proceed, now, correlate
         )
         nursery.cancel_scope.cancel()
+        # The deadline may pass before the other task has ended, but the attempt has its result.
+        nursery.cancel_scope.shield = True
 
 
 def filter_headers(headers: exchange.Headers) -> exchange.Headers:
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -246,7 +246,10 @@
         buffering.clear(buffer)
     is_reply_begun = caller.is_reply_begun()
     result = completion.result
-    if is_caller_gone:
+    if buffer.is_delivered and buffer.head is not None:
+        # The deadline may have passed, or the caller have left, since.
+        result = outcome.Outcome(verdict=outcome.Verdict.ANSWERED, status=buffer.head[0])
+    elif is_caller_gone:
         result = outcome.unknown(outcome.Reason.CALLER_GONE)
     elif not is_reply_begun and result.reason is not outcome.Reason.CALLER_GONE:
         # Jitter keeps callers that were refused at the same time from retrying at the same time.
