Keep a connection open when the handling of one of its requests fails

A bug that one request met closed its connection, so that requests that ran behind it, and whole answers that waited for their turn, were lost. The same happened when the head of a request that is read ahead could not be handled.

The 502 takes the place of the answer, as any refusal does, and no longer announces the close; a failure after a whole answer changes nothing. A head that fails while it is read ahead waits for its turn and fails there.

--- a/src/ebonyvalve/request/ahead.py
+++ b/src/ebonyvalve/request/ahead.py
@@ -24,9 +24,9 @@
 
     ``parse`` returns a request or what is wrong with it, ``find_max_body`` the size in bytes up to
     which its body may be buffered, and ``may_overlap`` whether it may run more than once.
-    ``nursery`` runs the requests and outlives all connections. ``handle`` answers a request, and
-    ``answer_failure`` one whose handling failed. ``record_end`` records a request that ended, if it
-    has no whole answer. ``stats`` and ``usage`` are those of the node.
+    ``nursery`` runs the requests and outlives all connections. ``handle`` answers a request, also
+    if its handling fails. ``record_end`` records a request that ended, if it has no whole answer.
+    ``stats`` and ``usage`` are those of the node.
     """
 
     now: collections.abc.Callable[[], float]
@@ -36,9 +36,8 @@
     may_overlap: collections.abc.Callable[[exchange.Call], bool]
     nursery: trio.Nursery
     handle: collections.abc.Callable[
-        [exchange.Call, exchange.Caller], collections.abc.Awaitable[object]
+        [exchange.Call, exchange.Caller], collections.abc.Awaitable[None]
     ]
-    answer_failure: collections.abc.Callable[[exchange.Caller], collections.abc.Awaitable[None]]
     record_end: collections.abc.Callable[[overlap.Overlap, overlap.Slot], None]
     stats: pipeline.Stats
     usage: buffering.Usage
@@ -190,9 +189,9 @@
     conn = state.following
     arrived_at_s = lookahead.find_arrival(state.conn, len(state.behind), hooks.now)
     head = lookahead.parse_head(conn, data)
-    call = _find_complete(hooks, head, len(state.behind))
+    call, is_repeatable = _parse(hooks, head, len(state.behind))
     course = pipeline.choose_course(
-        is_repeatable=call is not None and hooks.may_overlap(call),
+        is_repeatable=is_repeatable,
         is_complete=call is not None,
         is_stopping=hooks.is_stopping(),
     )
@@ -211,6 +210,21 @@
     nursery.start_soon(_serve, hooks, state, overlap.add_slot(state, call), call)
 
 
+def _parse(
+    hooks: Hooks, head: h11.Request | wire.WireFailure, behind_bytes: int
+) -> tuple[exchange.Call | None, bool]:
+    """Return a request, if it has been received in full, and whether it may run more than once."""
+    try:
+        call = _find_complete(hooks, head, behind_bytes)
+        return call, call is not None and hooks.may_overlap(call)
+    except Exception as exc:
+        if errors.is_invariant_violated(exc):
+            raise
+        # It fails again in its own turn, which ends none of the requests before it.
+        log.exception("request-failed")
+        return None, False
+
+
 def _find_complete(
     hooks: Hooks, head: h11.Request | wire.WireFailure, behind_bytes: int
 ) -> exchange.Call | None:
@@ -247,15 +261,7 @@
     """Serve a request that was read ahead, from its handling to the end of its answer."""
     caller = overlap.build_caller(state, slot)
     try:
-        try:
-            await hooks.handle(call, caller)
-        except Exception as exc:
-            if errors.is_invariant_violated(exc):
-                raise
-            # A bug that one request meets must not end the requests of all other callers.
-            log.exception("request-failed")
-            if not caller.is_reply_begun():
-                await hooks.answer_failure(caller)
+        await hooks.handle(call, caller)
         await overlap.complete(state, slot)
     finally:
         overlap.discard(state, slot)
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -256,14 +256,8 @@
         return False
     try:
         is_open = await _answer(incoming, call)
-    except Exception:
-        # serve() may still answer it.
-        front.tracker.failed[conn] = functools.partial(_record_end, incoming, call)
-        raise
-    except BaseException:
+    finally:
         _record_end(incoming, call)
-        raise
-    _record_end(incoming, call)
     if session.overlap is None:
         return is_open
     is_open = await ahead.end(session, keeps_open=is_open)
@@ -284,16 +278,33 @@
     front, conn = incoming.front, incoming.conn
     caller = build_caller(incoming, call)
     is_intact = front.is_refusing or await _buffer_prefix(front, call, caller)
-    if front.is_refusing:
-        await front.refuse(call, caller)
-    elif is_intact:
-        await front.handle(call, caller)
-    else:
+    if not front.is_refusing and not is_intact:
         await _reply_error(conn, outcome.refuse(outcome.Reason.BODY_BROKEN), "body broke off")
         return False
+    await _handle(front, call, caller)
     return await _finish_exchange(incoming)
 
 
+async def _handle(front: Front, call: exchange.Call, caller: exchange.Caller) -> None:
+    """Handle a request, or refuse it; answer one whose handling fails.
+
+    The connection stays open then, as other requests of it may be running.
+    """
+    try:
+        await (front.refuse if front.is_refusing else front.handle)(call, caller)
+    except Exception as exc:
+        if errors.is_invariant_violated(exc):
+            raise
+        # A bug that one request meets must not end the requests of all other callers.
+        log.exception("request-failed")
+        if caller.is_reply_begun():
+            return
+        refusal = outcome.unknown(outcome.Reason.CONNECTION_LOST)
+        status, headers, body = _build_error(refusal, "internal error")
+        if await caller.reply(status, headers) and await caller.write(body):
+            await caller.finish()
+
+
 def _find_listener(front: Front) -> unanswered.Listener:
     return unanswered.Listener.PEERS if front.is_hop else unanswered.Listener.CALLERS
 
@@ -550,11 +561,8 @@
     def find_max_body(call: exchange.Call) -> int:
         return min(PREFIX_BYTES - 1, _find_max_body(front, call))
 
-    async def handle(call: exchange.Call, caller: exchange.Caller) -> None:
-        await (front.refuse if front.is_refusing else front.handle)(call, caller)
-
     def record_end(state: overlap.Overlap, slot: overlap.Slot) -> None:
-        is_behind = state.closing not in (None, slot.conn) or state.conn in front.tracker.failed
+        is_behind = state.closing not in (None, slot.conn)
         incoming = Incoming(conn=slot.conn, front=front, max_body_bytes=0)
         _record_end(incoming, slot.call, state=state, is_behind=is_behind)
 
@@ -565,21 +573,13 @@
         find_max_body=find_max_body,
         may_overlap=may_overlap,
         nursery=nursery,
-        handle=handle,
-        answer_failure=_answer_failure,
+        handle=functools.partial(_handle, front),
         record_end=record_end,
         stats=front.pipelining,
         usage=front.usage,
     )
 
 
-async def _answer_failure(caller: exchange.Caller) -> None:
-    refusal = outcome.unknown(outcome.Reason.CONNECTION_LOST)
-    status, headers, body = _build_error(refusal, "internal error")
-    if await caller.reply(status, headers) and await caller.write(body):
-        await caller.finish()
-
-
 async def _receive_body(incoming: Incoming) -> exchange.Chunk:
     """Return the next part of the body, or why it could not be read."""
     if incoming.is_body_read:
@@ -642,19 +642,18 @@
     """Refuse a request that can't be handled, and read for a moment what the caller still sends."""
     if conn.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
         status, headers, body = _build_error(refusal, text)
-        head = h11.Response(status_code=status, headers=headers)
+        head = h11.Response(status_code=status, headers=[*headers, overlap.CLOSE_HEADER])
         await wire.send(conn, head, h11.Data(data=body), h11.EndOfMessage())
         with trio.move_on_after(LINGER_S):
             await wire.drain(conn)
 
 
 def _build_error(refusal: outcome.Outcome, text: str) -> tuple[int, exchange.Headers, bytes]:
-    """Return status, headers and body of an answer that closes the connection."""
+    """Return status, headers and body of an answer of the listener's own."""
     body = f"{text}\n".encode()
     headers = [
         (b"content-type", b"text/plain; charset=utf-8"),
         (b"content-length", str(len(body)).encode()),
-        overlap.CLOSE_HEADER,
         *build_outcome_headers(refusal),
     ]
     if refusal.reason is outcome.Reason.STOPPING:
--- a/src/ebonyvalve/request/unanswered.py
+++ b/src/ebonyvalve/request/unanswered.py
@@ -1,7 +1,6 @@
 """Records requests that end without a whole answer, and why."""
 
 import collections
-import collections.abc
 import dataclasses
 import enum
 import logging
@@ -42,18 +41,13 @@
     """The requests of one listener that ended without a whole answer.
 
     ``counts`` counts those that were passed on, by listener and cause. ``abandoned`` holds those
-    whose caller has left, by connection until that is closed. ``failed`` holds functions that
-    record a request whose handling has failed, by connection; they are called when the answer that
-    says so has been sent, as far as that is possible.
+    whose caller has left, by connection until that is closed.
     """
 
     counts: collections.Counter[tuple[str, str]] = dataclasses.field(
         default_factory=collections.Counter
     )
     abandoned: dict[wire.Wire, list[exchange.Call]] = dataclasses.field(default_factory=dict)
-    failed: dict[wire.Wire, collections.abc.Callable[[], None]] = dataclasses.field(
-        default_factory=dict
-    )
 
 
 def is_incomplete(conn: wire.Wire) -> bool:
@@ -150,16 +144,13 @@
 
 
 def end_connection(tracker: Tracker, conn: wire.Wire, now_s: float, listener: Listener) -> None:
-    """Record what is left to record of a connection, before it is closed.
+    """Log a caller that left, before its connection is closed.
 
     :param tracker: the state of the listener.
     :param conn: the connection.
     :param now_s: the time on the node's clock.
     :param listener: where its requests came from.
     """
-    record_failed = tracker.failed.pop(conn, None)
-    if record_failed is not None:
-        record_failed()
     calls = tracker.abandoned.pop(conn, None)
     if calls is None:
         return
