Hold the end of an answer also while the node is full

The end of an answer that was held whole but for its end waited for room when the answers of other connections took it all, until the deadline replaced the answer by a refusal. The end takes no room. A producer that waits and is dropped by the node no longer logs that its caller left.

--- a/src/ebonyvalve/request/overlap.py
+++ b/src/ebonyvalve/request/overlap.py
@@ -261,13 +261,16 @@
     if not pipeline.is_first(overlap.line, slot.entry) and not overlap.line.is_closed:
         node_bytes = overlap.usage.total_bytes
         overlap.usage.total_bytes += size
-        if pipeline.may_hold(overlap.line, size, node_bytes=node_bytes):
+        # The end of an answer takes no room.
+        if not size or pipeline.may_hold(overlap.line, size, node_bytes=node_bytes):
             pipeline.hold(overlap.line, slot.entry, size)
             slot.held.append(event)
             return True
         overlap.stats.delayed += 1
         try:
             await slot.turn.wait()
+            # A request that the node has dropped must not look like one whose caller has left.
+            await trio.lowlevel.checkpoint_if_cancelled()
         finally:
             overlap.usage.total_bytes -= size
     slot.held.append(event)
