Limit the time of writes to callers that take nothing

A refusal, or an answer that had waited for its turn, was written without any limit, so that a caller that reads nothing kept the connection and the answer's memory for ever. Writes to callers are given up after 30 s; those of requests are limited by their deadlines as before.

"100 Continue" was cut in its middle when a stop cancelled the body, and a refusal followed the part that had been written, which no caller can read. It is written whole, within 1 s; so is the end of a streamed body, but only if the deadline has passed: before it, a caller that reads slowly keeps the time of its request.

--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -3,6 +3,7 @@
 import contextlib
 import dataclasses
 import enum
+import math
 import select
 import socket
 import struct
@@ -24,9 +25,12 @@
 # Offset and format of ``tcpi_last_data_recv`` in ``struct tcp_info`` of Linux, in milliseconds.
 LAST_DATA_OFFSET = 52
 LAST_DATA = struct.Struct("=I")
-# The end of a message whose body has been sent is written in this time, also if the request has
-# been cancelled meanwhile: without it, the peer would take the whole message for a part.
-MAX_END_S = 1.0
+# Limit for short writes that go on although the request has been cancelled, such as the end of an
+# answer whose body has been sent.
+MAX_SHIELDED_WRITE_S = 1.0
+# A caller that takes nothing of an answer for this long is given up, so that it can't hold the
+# memory and the place of a connection for ever.
+MAX_WRITE_S = 30.0
 # Value of SO_LINGER (``struct linger``) with which close() resets the connection.
 RESET_ON_CLOSE = struct.pack("=ii", 1, 0)
 
@@ -270,7 +274,7 @@
 
     The result is :attr:`WireFailure.CLOSED` if the connection is closed or an earlier write was
     cancelled, :attr:`WireFailure.MALFORMED` if an event is not allowed in the connection's state,
-    and :attr:`WireFailure.TIMEOUT` if the peer does not take the end of a message.
+    and :attr:`WireFailure.TIMEOUT` if a caller does not take what is written.
 
     :param wire: the connection.
     :param events: the events to write, in order.
@@ -288,16 +292,14 @@
                 # The last check for a cancellation before h11 counts the message as begun. Later
                 # events may write nothing, like the end of a body whose length was announced.
                 await trio.lowlevel.checkpoint_if_cancelled()
-            is_end = wire.http.our_state is h11.SEND_BODY and isinstance(
-                events[0], h11.EndOfMessage
-            )
+            is_late_end = _is_end_of_answer(wire, events) and _is_cancelled()
             parts = [
                 wire.http.send(event)
                 for event in events
                 if not (wire.is_head_request and isinstance(event, h11.Data))
             ]
             data = b"".join(part for part in parts if part)
-            if data and not await _write(wire, data, is_end=is_end):
+            if data and not await _write(wire, data, is_shielded=is_late_end):
                 return result.Failure(WireFailure.TIMEOUT)
         finally:
             wire.sending.release()
@@ -309,14 +311,28 @@
     return result.Success(None)
 
 
-async def _write(wire: Wire, data: bytes, *, is_end: bool) -> bool:
-    """Write bytes; return whether that was done in time, which is limited for ``is_end`` only."""
+def _is_cancelled() -> bool:
+    """Return whether the next checkpoint of the current task raises ``trio.Cancelled``."""
+    return trio.current_effective_deadline() == -math.inf
+
+
+def _is_end_of_answer(wire: Wire, events: tuple[h11.Event, ...]) -> bool:
+    """Return whether events only end an answer whose body has been sent."""
+    is_begun = wire.http.our_role is h11.SERVER and wire.http.our_state is h11.SEND_BODY
+    return is_begun and isinstance(events[0], h11.EndOfMessage)
+
+
+async def _write(wire: Wire, data: bytes, *, is_shielded: bool = False) -> bool:
+    """Write bytes; return whether the peer took them in time.
+
+    Shielded writes go on if the request is cancelled. The time that a target or node may take for a
+    request is limited by its deadline.
+    """
+    limit_s = MAX_SHIELDED_WRITE_S if is_shielded else MAX_WRITE_S
+    if wire.http.our_role is h11.CLIENT:
+        limit_s = math.inf
     wire.is_writing = True
-    if not is_end:
-        await wire.stream.send_all(data)
-        wire.is_writing = False
-        return True
-    with trio.move_on_after(MAX_END_S, shield=True):
+    with trio.move_on_after(limit_s, shield=is_shielded):
         await wire.stream.send_all(data)
         wire.is_writing = False
     return not wire.is_writing
@@ -332,10 +348,10 @@
             return True
         data = wire.http.send(h11.InformationalResponse(status_code=100, headers=[]))
         try:
-            await wire.stream.send_all(data or b"")
+            # A refusal behind a part of it could not be read.
+            return await _write(wire, data or b"", is_shielded=True)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return False
-    return True
 
 
 async def wait_closed(wire: Wire) -> None:
