Read nothing ahead behind an answer that has begun

A request that came while a large answer was being sent to its caller was passed on. If that answer broke off, the connection had to be closed and the request was lost, although a target ran it. It now waits until the answer is whole. What was passed on before the answer began is still lost with it; HTTP/1.1 leaves no other way.

Four cases of a new test failed before; the decision is pipeline.may_read.

--- a/src/ebonyvalve/connection/pipeline.py
+++ b/src/ebonyvalve/connection/pipeline.py
@@ -88,19 +88,25 @@
     in_flight: collections.Counter[int] = dataclasses.field(default_factory=collections.Counter)
 
 
-def may_read(line: Line, *, node_bytes: int, is_stopping: bool) -> bool:
+def may_read(
+    line: Line, *, node_bytes: int, is_stopping: bool, is_answer_begun: bool = False
+) -> bool:
     """Return whether the head of a further request may be read while the others run.
 
-    None may when all have ended, as the connection's own task serves the next one then.
+    None may when all have ended, as the connection's own task serves the next one then. Nor may one
+    behind an answer of which a part has been sent: if that breaks off, nothing can take its place
+    and the connection has to be closed.
 
     :param line: the line.
     :param node_bytes: bytes of answers that are buffered or held for all requests of the node.
     :param is_stopping: whether answers ask callers to leave; the last one of the line does, and no
         request may follow it.
+    :param is_answer_begun: whether a part of the first answer of the line has been sent.
     """
     return not (
         line.is_closed
         or is_stopping
+        or is_answer_begun
         or not line.entries
         or len(line.entries) >= MAX_IN_FLIGHT
         or node_bytes >= MAX_NODE_BYTES
--- a/src/ebonyvalve/request/ahead.py
+++ b/src/ebonyvalve/request/ahead.py
@@ -160,6 +160,7 @@
             state.line,
             node_bytes=state.usage.total_bytes,
             is_stopping=hooks.is_stopping(),
+            is_answer_begun=overlap.is_answer_begun(state),
         )
     )
 
--- a/src/ebonyvalve/request/overlap.py
+++ b/src/ebonyvalve/request/overlap.py
@@ -201,6 +201,18 @@
     return len(overlap.line.entries) <= 1
 
 
+def is_answer_begun(overlap: Overlap) -> bool:
+    """Return whether a part of the first answer has been sent, and its end has not.
+
+    :param overlap: the state.
+    """
+    entries = overlap.line.entries
+    if not entries:
+        return False
+    first = overlap.conn if entries[0] is overlap.lead else overlap.slots[0].conn
+    return first.http.our_state is h11.SEND_BODY
+
+
 def hand_over(overlap: Overlap) -> Parked | None:
     """Make the connection go on behind the overlap; return the request that was read, if any.
 
--- a/tests/connection/test_pipeline.py
+++ b/tests/connection/test_pipeline.py
@@ -37,6 +37,12 @@
     assert not may_read(line, is_stopping=True)
 
 
+def test_nothing_is_read_ahead_behind_an_answer_that_has_begun() -> None:
+    """Guards against requests that are lost with an answer which nothing can replace."""
+    line, _, _ = build_line(1)
+    assert not pipeline.may_read(line, node_bytes=0, is_stopping=False, is_answer_begun=True)
+
+
 @pytest.mark.parametrize("is_repeatable", [False, True])
 @pytest.mark.parametrize("is_complete", [False, True])
 @pytest.mark.parametrize("is_stopping", [False, True])
--- a/tests/request/test_closing_answers.py
+++ b/tests/request/test_closing_answers.py
@@ -388,6 +388,39 @@
             usage.total_bytes -= buffering.MAX_TOTAL_BYTES
 
 
+@pytest.mark.parametrize("position", [0, 1])
+@pytest.mark.parametrize("is_cut", [False, True])
+async def test_request_behind_an_answer_that_has_begun_waits(
+    monkeypatch: pytest.MonkeyPatch,
+    autojump_clock: trio.testing.MockClock,
+    position: int,
+    is_cut: bool,
+) -> None:
+    """Guards against passing on a request that is lost if the answer before it breaks off."""
+
+    async def stream_slowly(name: str, stream: trio.abc.Stream) -> None:
+        data = build_answer(name, LARGE)
+        await stream.send_all(data[:-1])
+        await trio.sleep(2.0)
+        if is_cut:
+            await stream.aclose()
+        else:
+            await stream.send_all(data[-1:])
+
+    async with open_node(monkeypatch, **{f"_{position}": stream_slowly}) as node:
+        first = [test_ahead.write_request(str(i)) for i in range(position + 1)]
+        await node.world.near.send_all(b"".join(first))
+        names = [str(i) for i in range(position + 1)]
+        received = await test_ahead.receive_all(node.world, f"[{position}]".encode())
+        await trio.sleep(1.0)
+        await node.world.near.send_all(test_ahead.write_request("late"))
+        await trio.sleep(0.5)
+        assert node.asked == names
+        received += await test_ahead.receive_all(node.world, b"[late]")
+        assert test_ahead.list_names(received) == (names if is_cut else [*names, "late"])
+        assert node.asked == (names if is_cut else [*names, "late"])
+
+
 @pytest.mark.parametrize("method", ["GET", "HEAD"])
 @pytest.mark.parametrize(
     "data",
