Count the handling of a small message apart from the wait for it

A status report or probe that came at the end of the connection's idle time was cut while it was being answered, since one limit covered both. The answer has a limit of its own.

--- a/src/ebonyvalve/process/http.py
+++ b/src/ebonyvalve/process/http.py
@@ -25,6 +25,8 @@
 # One read may bring thousands of tiny chunks. A checkpoint after this many lets other tasks run.
 EVENTS_PER_CHECKPOINT = 32
 IDLE_TIMEOUT_S = 60.0
+# Limit for the handling of a request and the sending of its response.
+RESPONSE_TIMEOUT_S = 60.0
 # A response to HEAD has no body, and one to CONNECT ends HTTP on the connection.
 UNSUPPORTED_METHODS = (b"HEAD", b"CONNECT")
 
@@ -63,21 +65,25 @@
 async def serve(
     respond: Respond, stream: trio.abc.Stream, *, max_bytes: int = MAX_BODY_BYTES
 ) -> None:
-    """Serve one connection until it ends, or until a request takes over :data:`IDLE_TIMEOUT_S`.
+    """Serve one connection until it ends, or until a request takes too long to come or to answer.
 
-    The time of a request includes the wait for it.
+    The time of a request to come includes the wait for its beginning.
 
     :param respond: returns the reply to a request; ``None`` closes the connection without one.
     :param stream: the accepted connection.
     :param max_bytes: maximum length of the body in bytes.
     """
     protocol = h11.Connection(h11.SERVER)
+    is_open = True
     try:
-        while True:
+        while is_open:
+            request: Request | None = None
             with trio.move_on_after(IDLE_TIMEOUT_S):
-                if await _serve_request(respond, stream, protocol, max_bytes):
-                    continue
-            return
+                request = await _receive_request(stream, protocol, max_bytes)
+            is_open = False
+            if request is not None:
+                with trio.move_on_after(RESPONSE_TIMEOUT_S):
+                    is_open = await _answer(respond, stream, protocol, request)
     except (trio.BrokenResourceError, trio.ClosedResourceError):
         return
     except Exception as exc:
@@ -89,22 +95,29 @@
         await trio.aclose_forcefully(stream)
 
 
-async def _serve_request(
-    respond: Respond, stream: trio.abc.Stream, protocol: h11.Connection, max_bytes: int
-) -> bool:
+async def _receive_request(
+    stream: trio.abc.Stream, protocol: h11.Connection, max_bytes: int
+) -> Request | None:
+    """Return the next request, or ``None`` if the connection ends or the request was refused."""
     try:
         head, body = await receive_message(stream, protocol, max_bytes=max_bytes)
     except h11.RemoteProtocolError as exc:
         if protocol.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             # Without a body, as the method may be HEAD.
             await _send(stream, protocol, Reply(status=exc.error_status_hint), is_last=True)
-        return False
+        return None
     if not isinstance(head, h11.Request):
-        return False
+        return None
     if head.method in UNSUPPORTED_METHODS:
         await _send(stream, protocol, Reply(status=405), is_last=True)
-        return False
-    request = Request(method=head.method.decode(), path=head.target.decode(), body=body)
+        return None
+    return Request(method=head.method.decode(), path=head.target.decode(), body=body)
+
+
+async def _answer(
+    respond: Respond, stream: trio.abc.Stream, protocol: h11.Connection, request: Request
+) -> bool:
+    """Answer a request; return whether the connection can serve another one."""
     reply = await respond(request)
     if reply is None:
         return False
