Let the phase of a begun answer stream it, and run a node's tasks in a nursery of its own

The large answer of the table was smaller than the reply buffer, so that the caller had no part of it at the change. Callers' requests may be read ahead as in the daemon, a node can be ended, and its target can break off in an answer, which further phases need.

--- a/tests/platform/change.py
+++ b/tests/platform/change.py
@@ -4,6 +4,7 @@
 import dataclasses
 import functools
 import math
+import random
 
 import h11
 import msgspec
@@ -16,22 +17,37 @@
 from ebonyvalve.process import node as node_module
 from ebonyvalve.process.keyspace import ledger
 from ebonyvalve.process.store import table
-from ebonyvalve.request import delivery, front
+from ebonyvalve.request import buffering, delivery, front
 from tests import places
 
 HOST = "shop.example"
 KEYED = "lookup"
 SERVICES = {"a": KEYED, "b": "orders", "c": "orders", "d": "spare"}
 # Larger than the reply buffer, so that the caller gets the beginning before the reply is complete.
-LARGE_BYTES = 100_000
+LARGE_BYTES = buffering.MAX_BUFFERED_BYTES + 20_000
+# How much of a large answer the target sends first; it fills the buffer too.
+LARGE_PART_BYTES = buffering.MAX_BUFFERED_BYTES + 10_000
 WORK_S = 0.5
+# Work times by kind of request, if they differ from ``WORK_S``.
+WORK_TIMES_S = {"fast": 0.0, "soon": 0.5 * WORK_S, "late": 2.0 * WORK_S}
+# Time-out of the routes with the prefix ``/brief/``: between the two parts of an answer.
+BRIEF_S = 1.6 * WORK_S
+
+
+WriteHook = collections.abc.Callable[[], collections.abc.Awaitable[None]]
 
 
 @dataclasses.dataclass(kw_only=True)
 class World:
-    """The nodes by name, and the requests that each target has run."""
+    """The nodes by name, and the requests that each target has run.
+
+    ``nurseries`` run the nodes and their connections; cancelling one ends the process of its node.
+    ``write_hooks`` are called after each write to a connection that was opened to an address.
+    """
 
     nursery: trio.Nursery
+    nurseries: dict[str, trio.Nursery] = dataclasses.field(default_factory=dict)
+    write_hooks: dict[str, WriteHook] = dataclasses.field(default_factory=dict)
     daemons: dict[str, daemon.Daemon] = dataclasses.field(default_factory=dict)
     ran: dict[str, list[str]] = dataclasses.field(default_factory=dict)
 
@@ -59,6 +75,7 @@
     all routes.
     """
     all_routes: dict[str, dict[str, object]] = {
+        "/brief/": {"backend": "orders", "type": "idempotent", "timeout_s": BRIEF_S},
         "/lookup/": {"backend": KEYED, "type": "idempotent"},
         "/orders/": {"backend": "orders", "type": "non_idempotent"},
         "/reads/": {"backend": "orders", "type": "idempotent"},
@@ -111,28 +128,35 @@
             if not isinstance(head, h11.Request):
                 return
             headers = {key.decode(): value.decode() for key, value in head.headers}
-            world.ran[name].append(headers["x-attempt-id"])
+            request_id = headers["x-attempt-id"]
+            world.ran[name].append(request_id)
             kind = head.target.decode().rpartition("/")[2]
             if kind != "fast":
-                await trio.sleep(WORK_S)
-            if kind == "break" and sum(map(len, world.ran.values())) == 1:
+                await trio.sleep(WORK_TIMES_S.get(kind, WORK_S))
+            is_first_run = sum(ids.count(request_id) for ids in world.ran.values()) == 1
+            if kind == "break" and is_first_run:
                 return
             content = (
                 b"x" * LARGE_BYTES if kind == "large" else b"%s %d" % (name.encode(), len(body))
             )
+            length = ("content-length", str(len(content)))
+            chunked = ("transfer-encoding", "chunked")
             reply = h11.Response(
                 status_code=200,
                 headers=[
-                    ("content-length", str(len(content))),
-                    ("x-attempt-id", headers["x-attempt-id"]),
+                    chunked if kind == "chunks" else length,
+                    ("x-attempt-id", request_id),
                     ("x-response-seal", "seal"),
                 ],
             )
-            if kind == "large":
-                half = h11.Data(data=content[:90_000])
-                await stream.send_all((protocol.send(reply) or b"") + (protocol.send(half) or b""))
+            if kind in ("large", "halves", "cut"):
+                size = LARGE_PART_BYTES if kind == "large" else 1
+                part = h11.Data(data=content[:size])
+                await stream.send_all((protocol.send(reply) or b"") + (protocol.send(part) or b""))
+                if kind == "cut" and is_first_run:
+                    return
                 await trio.sleep(WORK_S)
-                parts = [h11.Data(data=content[90_000:]), h11.EndOfMessage()]
+                parts = [h11.Data(data=content[size:]), h11.EndOfMessage()]
                 await stream.send_all(b"".join(protocol.send(part) or b"" for part in parts))
             else:
                 await http.send_message(stream, protocol, reply, content)
@@ -144,6 +168,18 @@
         await trio.aclose_forcefully(stream)
 
 
+async def run_node(
+    running: daemon.Daemon, *, task_status: trio.TaskStatus[trio.Nursery] = trio.TASK_STATUS_IGNORED
+) -> None:
+    """Run what the process of a node runs, except for its listeners."""
+    async with trio.open_nursery() as nursery:
+        running.callers.nursery = nursery
+        nursery.start_soon(timer.run, running.timer)
+        nursery.start_soon(delivery.run_queue, running.origin.delivery)
+        nursery.start_soon(daemon.sweep, running)
+        task_status.started(nursery)
+
+
 async def open_world(nursery: trio.Nursery, monkeypatch: pytest.MonkeyPatch) -> World:
     """Start the nodes of ``SERVICES`` with a target each, in one configuration."""
     world = World(nursery=nursery)
@@ -170,10 +206,9 @@
             is_assumed=True,
         )
         running.node.started_at = math.inf
+        running.node.draw = random.Random(name).random
         node_module.set_target(running.node, target, 0.0)
-        nursery.start_soon(timer.run, running.timer)
-        nursery.start_soon(delivery.run_queue, running.origin.delivery)
-        nursery.start_soon(daemon.sweep, running)
+        world.nurseries[name] = await nursery.start(run_node, running)
     span = ledger.Span(first=0, last=identity.LAST_KEY_SLOT, fence=1, node="a", holder="i-a@1")
     versioned = node_module.VersionedLedger(ledger=ledger.Ledger(spans=(span,)), version=1)
     for running in world.daemons.values():
@@ -209,15 +244,30 @@
     near, far = trio.testing.memory_stream_pair()
     if kind == "target":
         world.nursery.start_soon(serve_target, world, name, far)
-    elif name not in world.daemons:
+    elif name not in world.daemons or world.nurseries[name].cancel_scope.cancel_called:
         raise OSError("nobody listens")
     else:
         running = world.daemons[name]
         listener = running.peers if kind == "peers" else running.callers
-        world.nursery.start_soon(front.serve, listener, far)
+        hook = world.write_hooks.get(address.removesuffix(":1"))
+        if hook is not None:
+            add_write_hook(far.send_stream, hook)
+        world.nurseries[name].start_soon(front.serve, listener, far)
     return near
 
 
+def add_write_hook(stream: trio.testing.MemorySendStream, hook: WriteHook) -> None:
+    """Call a function after each write to a stream of a pair."""
+    deliver = stream.send_all_hook
+    assert deliver is not None
+
+    async def run() -> None:
+        await deliver()
+        await hook()
+
+    stream.send_all_hook = run
+
+
 async def open_client(world: World, name: str) -> Client:
     return Client(stream=await connect(world, f"callers-{name}"))
 
--- a/tests/platform/test_change.py
+++ b/tests/platform/test_change.py
@@ -32,7 +32,7 @@
     targets: str = "bc"
 
 
-PREFIXES = ("/orders/", "/reads/", "/lookup/")
+PREFIXES = ("/brief/", "/orders/", "/reads/", "/lookup/")
 SPLIT = [{"backend": "orders", "weight": 0}, {"backend": "spare", "weight": 1}]
 
 
