Test changes of the configuration and stops beside requests that were sent ahead

The table of changes had no phase with requests behind the one that runs, no time-out that falls into an answer, and one request a connection.

--- a/tests/platform/change.py
+++ b/tests/platform/change.py
@@ -228,6 +228,14 @@
     return world
 
 
+def end_node(world: World, name: str) -> None:
+    """End the process of a node, and remove it from the members that the others know."""
+    world.nurseries[name].cancel_scope.cancel()
+    # Its connections in the pools of the others can't be seen to be closed, as they are no sockets.
+    for running in world.daemons.values():
+        running.node.members.pop(identity.NodeId(name), None)
+
+
 def set_granted(running: daemon.Daemon, *, is_granted: bool) -> None:
     """Set whether a node's target has the keys that the ledger assigns to it."""
     target = running.node.target
--- a/tests/platform/test_change.py
+++ b/tests/platform/test_change.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import functools
 
 import pytest
 import trio
@@ -231,6 +232,16 @@
 ]
 
 
+def apply_change(world: world_module.World, nursery: trio.Nursery, change: str, nodes: str) -> None:
+    """Apply a change of ``CHANGES`` at some nodes."""
+    config = world_module.build_config(2, **CHANGES[change].fields)  # type: ignore[arg-type]
+    for name in nodes:
+        running = world.daemons[name]
+        world_module.apply_config(running, config, 2)
+        if change == "settings":
+            nursery.start_soon(reload.apply, running.node, running.client, SETTINGS)
+
+
 # The node where the request enters, and those at which the change takes effect. The target of a
 # keyed request is beside "a", those of the others are beside "b" and "c".
 PLACES = [("a", "a"), ("a", "bcd"), ("a", "abcd"), ("b", "abcd")]
@@ -253,15 +264,7 @@
     """
     async with trio.open_nursery() as nursery:
         world = await world_module.open_world(nursery, monkeypatch)
-        config = world_module.build_config(2, **CHANGES[change].fields)  # type: ignore[arg-type]
-
-        def apply() -> None:
-            for name in nodes:
-                running = world.daemons[name]
-                world_module.apply_config(running, config, 2)
-                if change == "settings":
-                    nursery.start_soon(reload.apply, running.node, running.client, SETTINGS)
-
+        apply = functools.partial(apply_change, world, nursery, change, nodes)
         answers = await phase(world, entry, apply)
         nursery.cancel_scope.cancel()
     is_read_after = phase in EARLY and entry in nodes
