--- a/tests/platform/change.py
+++ b/tests/platform/change.py
@@ -43,9 +43,12 @@
     "halves": WORK_S,
     "cut": WORK_S,
     "large": WORK_S,
+    "large-cut": WORK_S,
     "large-last": BRIEF_S - 0.01 - WORK_S,
 }
-LARGE_KINDS = frozenset({"large", "large-last"})
+LARGE_KINDS = frozenset({"large", "large-cut", "large-last"})
+# The connection ends after the first part, the first time that the request runs.
+CUT_KINDS = frozenset({"cut", "large-cut"})
 
 
 WriteHook = collections.abc.Callable[[], collections.abc.Awaitable[None]]
@@ -167,7 +170,7 @@
                 size = LARGE_PART_BYTES if kind in LARGE_KINDS else 1
                 part = h11.Data(data=content[:size])
                 await stream.send_all((protocol.send(reply) or b"") + (protocol.send(part) or b""))
-                if kind == "cut" and is_first_run:
+                if kind in CUT_KINDS and is_first_run:
                     return
                 await trio.sleep(PART_TIMES_S[kind])
                 parts = [h11.Data(data=content[size:]), h11.EndOfMessage()]
--- a/tests/platform/test_change_pipelined.py
+++ b/tests/platform/test_change_pipelined.py
@@ -35,8 +35,8 @@
     ``paths`` are those of the requests, ``statuses`` the answers that they get whatever happens.
     ``at_s`` is the time after they were sent. With ``is_late``, the time-outs of ``/brief/`` have
     passed after the next write to the caller, or with ``is_late_hop`` to the entry node. With
-    ``is_queued`` all slots of the targets are taken. With ``may_cut`` a large answer has begun at
-    its time-out, and may be cut.
+    ``is_queued`` all slots of the targets are taken. With ``may_cut`` a large answer has begun when
+    it ends, and may be cut.
     """
 
     paths: tuple[str, ...]
@@ -58,6 +58,10 @@
     "in-answer": Phase(paths=("/reads/large", *BEHIND), at_s=0.7),
     "held": Phase(paths=("/reads/late", "/reads/large", "/reads/fast"), at_s=0.7),
     "broken-off": Phase(paths=("/reads/cut", *BEHIND), at_s=0.6),
+    "broken-off-in-large": Phase(paths=("/reads/large-cut", *BEHIND), at_s=0.4, may_cut=True),
+    "broken-off-in-large-others-run": Phase(
+        paths=("/reads/large-cut", "/reads/late", "/reads/late"), at_s=0.4, may_cut=True
+    ),
     "timeout-before-head": Phase(
         paths=("/brief/late", *BEHIND), at_s=0.6, statuses=(504, 200, 200)
     ),
@@ -93,6 +97,8 @@
 
 # Other forms of the answers of further phases, on which neither a change nor a stop has an effect.
 VARIANTS = {
+    "broken-off-in-large",
+    "broken-off-in-large-others-run",
     "timeout-waiting",
     "timeout-in-large-others-run",
     "timeout-at-end-of-chunks",
@@ -296,11 +302,15 @@
     entry: str,
     is_reused: bool,
 ) -> None:
-    """Guards against requests that are lost, or run in vain, behind one at its time-out."""
+    """Guards against requests that are lost, run in vain or keep buffers behind one that ends."""
     case = Case(phase=PHASES[phase], tail=tail, entry=entry, is_reused=is_reused)
     async with trio.open_nursery() as nursery:
         world = await world_module.open_world(nursery, monkeypatch)
         played = await play(world, autojump_clock, case, lambda: None, gap_s=0.0)
+        await trio.sleep(GAP_S)
+        for running in world.daemons.values():
+            assert not running.origin.scopes
+            assert not running.origin.buffer_usage.total_bytes
         nursery.cancel_scope.cancel()
     assert not played.answers.is_closed
     check(world, case, played.answers, may_cut=case.phase.may_cut)
