Buffer an answer as long as requests run behind it, up to 1 MiB

A large answer was passed on from 256 KiB on. If its target broke off, or the time-out of its route passed, its connection had to be closed, and requests that had been read ahead and passed on were lost with it. While others wait for an answer it is now buffered up to 1 MiB, if the node has room, so that another attempt or a refusal can take its place. What is buffered counts until it is sent or held, also while it waits for its turn, and the 10 s that a caller has for a whole answer begin with its first part.

A request that is sent again waits for a slot in one of them, so that the requests parked behind it may run into their time-outs. The streamed answers of test_closing_answers.py are larger now, and a whole answer that waits for its turn beyond its time-out is sent where it was refused before, if others wait for it.

--- a/src/ebonyvalve/request/buffering.py
+++ b/src/ebonyvalve/request/buffering.py
@@ -11,11 +11,14 @@
 # Larger replies are streamed. A request whose reply breaks off while it is streamed can neither be
 # retried nor refused.
 MAX_BUFFERED_BYTES = 262_144
+# The same for replies for which others of their connection wait.
+MAX_AWAITED_BYTES = 1_048_576
 # While this much is buffered for all requests together, replies are streamed from
 # ``MIN_STREAMED_BYTES`` on.
 MAX_TOTAL_BYTES = 4 * 1_048_576
 MIN_STREAMED_BYTES = 65_536
-# Callers that read slowly have this long to take a complete reply, also after its deadline.
+# Callers that read slowly have this long to take the rest of a complete reply after its first part,
+# also beyond its deadline.
 MAX_DELIVERY_S = 10.0
 
 
@@ -53,23 +56,27 @@
 
     :param buffer: the buffer.
     """
-    buffer.usage.total_bytes -= buffer.size
+    _discount(buffer, buffer.size)
     buffer.parts.clear()
-    buffer.size = 0
+
+
+def _discount(buffer: Buffer, size: int) -> None:
+    """Count a number of bytes as no longer buffered."""
+    buffer.usage.total_bytes -= size
+    buffer.size -= size
 
 
 @contextlib.contextmanager
-def _shield_delivery(usage: Usage) -> collections.abc.Iterator[None]:
+def _shield_delivery(usage: Usage) -> collections.abc.Iterator[trio.CancelScope]:
     """Shield the sending of a complete reply from the request's deadline.
 
     If it were cancelled halfway, the caller's connection would have to be closed, and the requests
     that were read ahead on it would go unanswered.
     """
     with trio.CancelScope(shield=not usage.is_ending) as scope:
-        scope.deadline = trio.current_time() + MAX_DELIVERY_S
         usage.deliveries.add(scope)
         try:
-            yield
+            yield scope
         finally:
             usage.deliveries.discard(scope)
 
@@ -84,6 +91,17 @@
         scope.shield = False
 
 
+def _find_max_bytes(caller: exchange.Caller, usage: Usage) -> int:
+    """Return the size in bytes from which a reply is streamed.
+
+    If a streamed reply breaks off, the connection has to be closed. A reply for which others wait
+    is therefore buffered as long as there is room.
+    """
+    if usage.total_bytes > MAX_TOTAL_BYTES:
+        return MIN_STREAMED_BYTES
+    return MAX_AWAITED_BYTES if caller.is_awaited() else MAX_BUFFERED_BYTES
+
+
 def buffer_reply(caller: exchange.Caller, buffer: Buffer) -> exchange.Caller:
     """Return a caller's end that buffers the beginning of a reply.
 
@@ -94,19 +112,23 @@
     :param buffer: an empty buffer, which the caller of this function clears in the end.
     """
 
-    async def begin() -> bool:
+    async def begin(delivery: trio.CancelScope | None = None) -> bool:
         buffer.is_streamed = True
         assert buffer.head is not None
         # Small replies are sent in one write. Larger ones would need their memory twice.
         is_small = buffer.size <= MIN_STREAMED_BYTES
         parts = [b"".join(buffer.parts)] if is_small else buffer.parts[::-1]
-        clear(buffer)
+        buffer.parts.clear()
         if not await caller.reply(*buffer.head):
             return False
         while parts:
             part = parts.pop()
             if part and not await caller.write(part):
                 return False
+            # What waits for the replies ahead of this one still counts.
+            _discount(buffer, len(part))
+            if delivery is not None and caller.is_reply_begun():
+                delivery.deadline = min(delivery.deadline, trio.current_time() + MAX_DELIVERY_S)
         return True
 
     async def reply(status: int, headers: exchange.Headers) -> bool:
@@ -123,15 +145,13 @@
         buffer.parts.append(data)
         buffer.size += len(data)
         buffer.usage.total_bytes += len(data)
-        is_full = buffer.usage.total_bytes > MAX_TOTAL_BYTES
-        max_bytes = MIN_STREAMED_BYTES if is_full else MAX_BUFFERED_BYTES
-        return buffer.size < max_bytes or await begin()
+        return buffer.size < _find_max_bytes(caller, buffer.usage) or await begin()
 
     async def finish() -> bool:
         if buffer.is_streamed:
             return await caller.finish()
-        with _shield_delivery(buffer.usage):
-            buffer.is_delivered = await begin() and await caller.finish()
+        with _shield_delivery(buffer.usage) as scope:
+            buffer.is_delivered = await begin(scope) and await caller.finish()
         return buffer.is_delivered
 
     return dataclasses.replace(caller, reply=reply, write=write, finish=finish)
--- a/src/ebonyvalve/request/exchange.py
+++ b/src/ebonyvalve/request/exchange.py
@@ -83,7 +83,8 @@
     the reply, ``write`` a part of its body and ``finish`` its end; they return whether the caller
     is still connected. ``wait_gone`` returns when the caller has closed the connection; ``is_gone``
     says without waiting whether it has. ``is_reply_begun`` says whether any byte of a reply was
-    sent.
+    sent. ``is_awaited`` says whether further requests of the connection run whose replies can be
+    sent only after this one.
     """
 
     receive: collections.abc.Callable[[], collections.abc.Awaitable[Chunk]]
@@ -93,6 +94,7 @@
     wait_gone: collections.abc.Callable[[], collections.abc.Awaitable[None]]
     is_gone: collections.abc.Callable[[], bool]
     is_reply_begun: collections.abc.Callable[[], bool] = lambda: False
+    is_awaited: collections.abc.Callable[[], bool] = lambda: False
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -535,6 +535,10 @@
     def is_reply_begun() -> bool:
         return conn.http.our_state is not h11.SEND_RESPONSE
 
+    def is_awaited() -> bool:
+        state = incoming.session.overlap if incoming.session is not None else None
+        return state is not None and overlap.is_awaited(state, state.lead)
+
     return exchange.Caller(
         receive=receive,
         reply=reply,
@@ -543,6 +547,7 @@
         wait_gone=wait_gone,
         is_gone=is_gone,
         is_reply_begun=is_reply_begun,
+        is_awaited=is_awaited,
     )
 
 
--- a/src/ebonyvalve/request/overlap.py
+++ b/src/ebonyvalve/request/overlap.py
@@ -201,6 +201,16 @@
     return len(overlap.line.entries) <= 1
 
 
+def is_awaited(overlap: Overlap, entry: pipeline.Entry) -> bool:
+    """Return whether requests run whose answers can be sent only after that of another one.
+
+    :param overlap: the state.
+    :param entry: the other request.
+    """
+    entries = overlap.line.entries
+    return bool(entries) and entries[-1] is not entry
+
+
 def is_answer_begun(overlap: Overlap) -> bool:
     """Return whether a part of the first answer has been sent, and its end has not.
 
@@ -262,6 +272,7 @@
         wait_gone=overlap.gone.wait,
         is_gone=is_gone,
         is_reply_begun=is_reply_begun,
+        is_awaited=lambda: is_awaited(overlap, slot.entry),
     )
 
 
--- a/tests/platform/test_change_pipelined.py
+++ b/tests/platform/test_change_pipelined.py
@@ -35,8 +35,8 @@
     ``paths`` are those of the requests, ``statuses`` the answers that they get whatever happens.
     ``at_s`` is the time after they were sent. With ``is_late``, the time-outs of ``/brief/`` have
     passed after the next write to the caller, or with ``is_late_hop`` to the entry node. With
-    ``is_queued`` all slots of the targets are taken. With ``may_cut`` a large answer has begun when
-    it ends, and may be cut.
+    ``is_queued`` all slots of the targets are taken. ``behind`` are the statuses of the requests
+    that have to wait for those that overlap.
     """
 
     paths: tuple[str, ...]
@@ -45,7 +45,7 @@
     is_late: bool = False
     is_late_hop: bool = False
     is_queued: bool = False
-    may_cut: bool = False
+    behind: frozenset[int] = frozenset({200})
 
 
 BEHIND = ("/reads/work", "/reads/soon")
@@ -58,9 +58,12 @@
     "in-answer": Phase(paths=("/reads/large", *BEHIND), at_s=0.7),
     "held": Phase(paths=("/reads/late", "/reads/large", "/reads/fast"), at_s=0.7),
     "broken-off": Phase(paths=("/reads/cut", *BEHIND), at_s=0.6),
-    "broken-off-in-large": Phase(paths=("/reads/large-cut", *BEHIND), at_s=0.4, may_cut=True),
+    "broken-off-in-large": Phase(paths=("/reads/large-cut", *BEHIND), at_s=0.4),
     "broken-off-in-large-others-run": Phase(
-        paths=("/reads/large-cut", "/reads/late", "/reads/late"), at_s=0.4, may_cut=True
+        paths=("/reads/large-cut", "/reads/late", "/reads/late"),
+        at_s=0.4,
+        # The first request is sent again, and has to wait behind the others for a slot.
+        behind=frozenset({200, 504}),
     ),
     "timeout-before-head": Phase(
         paths=("/brief/late", *BEHIND), at_s=0.6, statuses=(504, 200, 200)
@@ -68,9 +71,9 @@
     "timeout-in-answer": Phase(
         paths=("/brief/halves", *BEHIND), at_s=0.6, statuses=(504, 200, 200)
     ),
-    "timeout-in-large": Phase(paths=("/brief/large", *BEHIND), at_s=0.6, may_cut=True),
+    "timeout-in-large": Phase(paths=("/brief/large", *BEHIND), at_s=0.6, statuses=(504, 200, 200)),
     "timeout-in-large-others-run": Phase(
-        paths=("/brief/large", "/reads/late", "/reads/late"), at_s=0.6, may_cut=True
+        paths=("/brief/large", "/reads/late", "/reads/late"), at_s=0.6, statuses=(504, 200, 200)
     ),
     "timeout-at-end": Phase(paths=("/brief/last", *BEHIND), at_s=0.7, is_late=True),
     "timeout-at-end-of-chunks": Phase(paths=("/brief/chunks", *BEHIND), at_s=0.7, is_late=True),
@@ -91,7 +94,7 @@
         paths=("/reads/soon", "/brief/last", "/reads/late"), at_s=0.7, is_late=True
     ),
     "timeout-in-large-behind": Phase(
-        paths=("/reads/soon", "/brief/large", "/reads/late"), at_s=0.6, may_cut=True
+        paths=("/reads/soon", "/brief/large", "/reads/late"), at_s=0.6, statuses=(200, 504, 200)
     ),
 }
 
@@ -315,7 +318,7 @@
             assert not running.origin.buffer_usage.total_bytes
         nursery.cancel_scope.cancel()
     assert not played.answers.is_closed
-    check(world, case, played.answers, may_cut=case.phase.may_cut)
+    check(world, case, played.answers, behind=case.phase.behind)
 
 
 # A part of the product of tails, entry nodes, connections and nodes at which a change takes effect.
@@ -357,7 +360,7 @@
         behind |= {503} if changed.status == 504 else set()
     # Only a body that is too large closes the connection.
     assert changed.body_status or not played.answers.is_closed
-    check(world, case, played.answers, behind=behind, may_cut=case.phase.may_cut)
+    check(world, case, played.answers, behind=behind)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -416,7 +419,7 @@
         case,
         played.answers,
         refusals=part.refusals,
-        may_cut=case.phase.may_cut or stop == "cut-off",
+        may_cut=stop == "cut-off",
         # Nothing can follow an answer that the end of the process cuts.
         may_lose=stop == "cut-off" and entry == stopped,
         may_miss_last=tail in SENT_BYTES and entry == stopped and played.ended_at >= stopped_at,
--- a/tests/request/test_closing_answers.py
+++ b/tests/request/test_closing_answers.py
@@ -369,7 +369,7 @@
 
     It has begun at the caller, so that HTTP/1.1 leaves nothing but the close.
     """
-    size = MEDIUM if is_node_full else LARGE
+    size = MEDIUM if is_node_full else buffering.MAX_AWAITED_BYTES
     script = answer_after(0.5, build_answer("cut", size)[:-1], closes=True)
     async with open_node(monkeypatch, **{f"_{position}": script}) as node:
         usage = node.world.listener.usage
@@ -578,15 +578,28 @@
         assert received.count(b"HTTP/1.1 502") == 2
 
 
-async def test_producer_whose_time_out_passes_while_it_waits(
-    monkeypatch: pytest.MonkeyPatch, autojump_clock: trio.testing.MockClock
+@pytest.mark.parametrize("is_awaited", [False, True])
+async def test_time_out_of_a_large_answer_that_waits_for_its_turn(
+    monkeypatch: pytest.MonkeyPatch, autojump_clock: trio.testing.MockClock, is_awaited: bool
 ) -> None:
-    """Guards against a part of an answer before the refusal that replaces it."""
-    scripts = {"_0": answer_after(3.0), "_1": answer_after(0.1, build_answer("cut", LARGE))}
+    """Guards against a part of an answer before the refusal that replaces it.
+
+    An answer that is whole, as others wait for it, is sent however long its turn takes to come.
+    """
+    scripts = {"_0": answer_after(20.0), "_1": answer_after(0.1, build_answer("large", LARGE))}
     async with open_node(monkeypatch, **scripts) as node:
-        received = await ask_three(node.world, "", WITH_TIMEOUT)
-        assert test_ahead.list_names(received) == ["0", "2"]
-        assert received.count(b"HTTP/1.1 502") + received.count(b"HTTP/1.1 504") == 1
+        requests = [
+            test_ahead.write_request("0"),
+            test_ahead.write_request("1", extra=WITH_TIMEOUT),
+            test_ahead.write_request("2"),
+        ]
+        await node.world.near.send_all(b"".join(requests[: 3 if is_awaited else 2]))
+        received = await test_ahead.receive_all(
+            node.world, b"[2]" if is_awaited else b"HTTP/1.1 50"
+        )
+        assert test_ahead.list_names(received) == ["0", *(["large", "2"] if is_awaited else [])]
+        assert received.count(b"x" * LARGE) == is_awaited
+        assert received.count(b"HTTP/1.1 50") == (not is_awaited)
 
 
 async def test_end_of_a_held_answer_takes_no_room(autojump_clock: trio.testing.MockClock) -> None:
