Return a whole reply of a small message, also when its time-out passes

The close of the connection after a reply is a checkpoint: a time-out that passed by then turned a whole reply into a missing one. Pings use this, so that a node that had answered could look unreachable to one whose event loop lags. The close is shielded, as in the client of the store.

--- a/src/ebonyvalve/process/http.py
+++ b/src/ebonyvalve/process/http.py
@@ -185,7 +185,9 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
             return result.Failure(HttpFailure.BROKEN)
         finally:
-            await trio.aclose_forcefully(stream)
+            # The time-out must not discard a reply that is whole.
+            with trio.CancelScope(shield=True):
+                await trio.aclose_forcefully(stream)
     return result.Failure(HttpFailure.TIMEOUT)
 
 
