End deliveries of whole answers also when a task of the process has failed

The shield of whole answers was lifted only after an orderly stop, so that a violated invariant left the process waiting for slow callers, with its listeners gone. Found by the review; test_sending_of_a_whole_answer_does_not_hold_up_a_process_that_fails failed before.

--- a/src/ebonyvalve/platform/daemon.py
+++ b/src/ebonyvalve/platform/daemon.py
@@ -174,9 +174,12 @@
         if read_settings is not None:
             nursery.start_soon(reload.follow, daemon.node, daemon.client, received, read_settings)
         task_status.started(daemon)
-        await received.stop.wait()
-        await stop(daemon)
-        buffering.end_deliveries(daemon.origin.buffer_usage)
+        try:
+            await received.stop.wait()
+            await stop(daemon)
+        finally:
+            # Also if a task has failed: nobody is served then.
+            buffering.end_deliveries(daemon.origin.buffer_usage)
         nursery.cancel_scope.cancel()
     decision.record(log, logging.INFO, "stop", node=place.node)
 
