Give a slow caller the time of its request for a whole answer

The limits that came with the shield cut callers that read slowly sooner than before: after 10 s although the request had a minute, or after 30 s of a steady write. The time for a whole answer ends no earlier than the request's deadline, the 30 s count for a caller that takes nothing at all, in parts of 16 KiB, and apply only if no deadline is in force. Shielded short writes have 0.2 s, less than a process that stops has left for its exit.

--- a/src/ebonyvalve/connection/wire.py
+++ b/src/ebonyvalve/connection/wire.py
@@ -26,11 +26,13 @@
 LAST_DATA_OFFSET = 52
 LAST_DATA = struct.Struct("=I")
 # Limit for short writes that go on although the request has been cancelled, such as the end of an
-# answer whose body has been sent.
-MAX_SHIELDED_WRITE_S = 1.0
-# A caller that takes nothing of an answer for this long is given up, so that it can't hold the
-# memory and the place of a connection for ever.
+# answer whose body has been sent. It is less than a process that stops has left for its exit.
+MAX_SHIELDED_WRITE_S = 0.2
+# A caller that takes nothing of an answer for this long is given up if no deadline is in force, so
+# that it can't hold the memory and the place of a connection for ever.
 MAX_WRITE_S = 30.0
+# Writes under that limit are split into parts of this size, so that slow callers show progress.
+MAX_PART_BYTES = 16_384
 # Value of SO_LINGER (``struct linger``) with which close() resets the connection.
 RESET_ON_CLOSE = struct.pack("=ii", 1, 0)
 
@@ -325,17 +327,32 @@
 async def _write(wire: Wire, data: bytes, *, is_shielded: bool = False) -> bool:
     """Write bytes; return whether the peer took them in time.
 
-    Shielded writes go on if the request is cancelled. The time that a target or node may take for a
-    request is limited by its deadline.
+    Shielded writes go on if the request is cancelled. Others end with the deadline of the request,
+    or, if none is in force, when a caller takes nothing any more.
     """
-    limit_s = MAX_SHIELDED_WRITE_S if is_shielded else MAX_WRITE_S
-    if wire.http.our_role is h11.CLIENT:
-        limit_s = math.inf
     wire.is_writing = True
-    with trio.move_on_after(limit_s, shield=is_shielded):
+    if is_shielded:
+        with trio.move_on_after(MAX_SHIELDED_WRITE_S, shield=True):
+            await wire.stream.send_all(data)
+            wire.is_writing = False
+        return not wire.is_writing
+    is_limited = trio.current_effective_deadline() < math.inf
+    if is_limited or wire.http.our_role is h11.CLIENT:
         await wire.stream.send_all(data)
-        wire.is_writing = False
-    return not wire.is_writing
+    elif not await _write_while_taken(wire, data):
+        return False
+    wire.is_writing = False
+    return True
+
+
+async def _write_while_taken(wire: Wire, data: bytes) -> bool:
+    """Write bytes in parts, each of which has a limit; return whether the peer took all."""
+    for first in range(0, len(data), MAX_PART_BYTES):
+        with trio.move_on_after(MAX_WRITE_S) as scope:
+            await wire.stream.send_all(data[first : first + MAX_PART_BYTES])
+        if scope.cancelled_caught:
+            return False
+    return True
 
 
 async def send_continue(wire: Wire) -> bool:
--- a/src/ebonyvalve/request/buffering.py
+++ b/src/ebonyvalve/request/buffering.py
@@ -3,6 +3,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import math
 
 import trio
 
@@ -17,8 +18,8 @@
 # ``MIN_STREAMED_BYTES`` on.
 MAX_TOTAL_BYTES = 4 * 1_048_576
 MIN_STREAMED_BYTES = 65_536
-# Callers that read slowly have this long to take the rest of a complete reply after its first part,
-# also beyond its deadline.
+# Callers that read slowly have at least this long to take the rest of a complete reply after its
+# first part, also beyond its deadline.
 MAX_DELIVERY_S = 10.0
 
 
@@ -112,7 +113,9 @@
     :param buffer: an empty buffer, which the caller of this function clears in the end.
     """
 
-    async def begin(delivery: trio.CancelScope | None = None) -> bool:
+    async def begin(
+        delivery: trio.CancelScope | None = None, deadline_s: float = -math.inf
+    ) -> bool:
         buffer.is_streamed = True
         assert buffer.head is not None
         # Small replies are sent in one write. Larger ones would need their memory twice.
@@ -128,7 +131,8 @@
             # What waits for the replies ahead of this one still counts.
             _discount(buffer, len(part))
             if delivery is not None and caller.is_reply_begun():
-                delivery.deadline = min(delivery.deadline, trio.current_time() + MAX_DELIVERY_S)
+                limit_s = max(deadline_s, trio.current_time() + MAX_DELIVERY_S)
+                delivery.deadline = min(delivery.deadline, limit_s)
         return True
 
     async def reply(status: int, headers: exchange.Headers) -> bool:
@@ -150,8 +154,9 @@
     async def finish() -> bool:
         if buffer.is_streamed:
             return await caller.finish()
+        deadline_s = trio.current_effective_deadline()
         with _shield_delivery(buffer.usage) as scope:
-            buffer.is_delivered = await begin(scope) and await caller.finish()
+            buffer.is_delivered = await begin(scope, deadline_s) and await caller.finish()
         return buffer.is_delivered
 
     return dataclasses.replace(caller, reply=reply, write=write, finish=finish)
