--- a/src/ebonyvalve/connection/pipeline.py
+++ b/src/ebonyvalve/connection/pipeline.py
@@ -88,9 +88,7 @@
     in_flight: collections.Counter[int] = dataclasses.field(default_factory=collections.Counter)
 
 
-def may_read(
-    line: Line, *, node_bytes: int, is_stopping: bool, is_answer_begun: bool = False
-) -> bool:
+def may_read(line: Line, *, node_bytes: int, is_stopping: bool, is_answer_begun: bool) -> bool:
     """Return whether the head of a further request may be read while the others run.
 
     None may when all have ended, as the connection's own task serves the next one then. Nor may one
--- a/src/ebonyvalve/request/ahead.py
+++ b/src/ebonyvalve/request/ahead.py
@@ -130,7 +130,7 @@
     except Exception as exc:
         if errors.is_invariant_violated(exc):
             raise
-        # As in _serve(); the connection can't go on.
+        # A bug that one connection meets must not end the process, but this one can't go on.
         log.exception("request-failed")
         state.closing = state.closing or state.following
     finally:
--- a/src/ebonyvalve/request/buffering.py
+++ b/src/ebonyvalve/request/buffering.py
@@ -40,8 +40,8 @@
 class Buffer:
     """The buffered beginning of one reply.
 
-    ``head`` is ``None`` before the reply has begun. ``is_delivered`` says that the caller's end has
-    taken a complete reply.
+    ``head`` is ``None`` before the reply has begun. ``is_taken`` says that the caller's end has
+    taken a complete reply: it was sent, or is held until its turn.
     """
 
     usage: Usage
@@ -49,7 +49,7 @@
     parts: list[bytes] = dataclasses.field(default_factory=list)
     size: int = 0
     is_streamed: bool = False
-    is_delivered: bool = False
+    is_taken: bool = False
 
 
 def clear(buffer: Buffer) -> None:
@@ -116,6 +116,7 @@
     async def begin(
         delivery: trio.CancelScope | None = None, deadline_s: float = -math.inf
     ) -> bool:
+        """Send what is buffered; ``delivery`` is the scope of a complete reply, if it is one."""
         buffer.is_streamed = True
         assert buffer.head is not None
         # Small replies are sent in one write. Larger ones would need their memory twice.
@@ -131,8 +132,8 @@
             # What waits for the replies ahead of this one still counts.
             _discount(buffer, len(part))
             if delivery is not None and caller.is_reply_begun():
-                limit_s = max(deadline_s, trio.current_time() + MAX_DELIVERY_S)
-                delivery.deadline = min(delivery.deadline, limit_s)
+                ends_at_s = max(deadline_s, trio.current_time() + MAX_DELIVERY_S)
+                delivery.deadline = min(delivery.deadline, ends_at_s)
         return True
 
     async def reply(status: int, headers: exchange.Headers) -> bool:
@@ -156,7 +157,7 @@
             return await caller.finish()
         deadline_s = trio.current_effective_deadline()
         with _shield_delivery(buffer.usage) as scope:
-            buffer.is_delivered = await begin(scope, deadline_s) and await caller.finish()
-        return buffer.is_delivered
+            buffer.is_taken = await begin(scope, deadline_s) and await caller.finish()
+        return buffer.is_taken
 
     return dataclasses.replace(caller, reply=reply, write=write, finish=finish)
--- a/src/ebonyvalve/request/front.py
+++ b/src/ebonyvalve/request/front.py
@@ -290,8 +290,9 @@
 
     The connection stays open then, as other requests of it may be running.
     """
+    handle = front.refuse if front.is_refusing else front.handle
     try:
-        await (front.refuse if front.is_refusing else front.handle)(call, caller)
+        await handle(call, caller)
     except Exception as exc:
         if errors.is_invariant_violated(exc):
             raise
--- a/src/ebonyvalve/request/origin.py
+++ b/src/ebonyvalve/request/origin.py
@@ -246,7 +246,7 @@
         buffering.clear(buffer)
     is_reply_begun = caller.is_reply_begun()
     result = completion.result
-    if buffer.is_delivered and buffer.head is not None:
+    if buffer.is_taken and buffer.head is not None:
         # The deadline may have passed, or the caller have left, since.
         result = outcome.Outcome(verdict=outcome.Verdict.ANSWERED, status=buffer.head[0])
     elif is_caller_gone:
--- a/tests/connection/test_pipeline.py
+++ b/tests/connection/test_pipeline.py
@@ -12,8 +12,16 @@
     return line, [pipeline.add(line, stats) for _ in range(number)], stats
 
 
-def may_read(line: pipeline.Line, *, node_bytes: int = 0, is_stopping: bool = False) -> bool:
-    return pipeline.may_read(line, node_bytes=node_bytes, is_stopping=is_stopping)
+def may_read(
+    line: pipeline.Line,
+    *,
+    node_bytes: int = 0,
+    is_stopping: bool = False,
+    is_answer_begun: bool = False,
+) -> bool:
+    return pipeline.may_read(
+        line, node_bytes=node_bytes, is_stopping=is_stopping, is_answer_begun=is_answer_begun
+    )
 
 
 def test_requests_in_flight_are_bounded() -> None:
@@ -40,7 +48,7 @@
 def test_nothing_is_read_ahead_behind_an_answer_that_has_begun() -> None:
     """Guards against requests that are lost with an answer which nothing can replace."""
     line, _, _ = build_line(1)
-    assert not pipeline.may_read(line, node_bytes=0, is_stopping=False, is_answer_begun=True)
+    assert not may_read(line, is_answer_begun=True)
 
 
 @pytest.mark.parametrize("is_repeatable", [False, True])
--- a/tests/request/test_cut_answers.py
+++ b/tests/request/test_cut_answers.py
@@ -359,7 +359,7 @@
         scope.cancel()
         await buffered.reply(200, [(b"content-length", b"5")])
         assert await buffered.write(b"whole") and await buffered.finish()
-    assert buffer.is_delivered and wire.is_reusable(conn)
+    assert buffer.is_taken and wire.is_reusable(conn)
     received = bytes(await near.receive_some())
     while not received.endswith(b"whole"):
         received += bytes(await near.receive_some())
