--- a/tests/request/test_cut_answers.py
+++ b/tests/request/test_cut_answers.py
@@ -300,17 +300,16 @@
     assert (view.avoid_until > trio.current_time()) is is_passed_by
 
 
-@pytest.mark.parametrize("joins_head", [True, False])
-async def test_cancelled_beginning_of_a_reply_is_replaced_completely(joins_head: bool) -> None:
-    """Guards against a reply with the head of one attempt and the body of the next.
-
-    The first attempt was cancelled in the same scheduler step in which its reply became too large
-    to be buffered.
-    """
+async def receive_request(
+    *, joins_head: bool
+) -> tuple[trio.abc.Stream, wire.Wire, exchange.Caller]:
+    """Return the caller's stream, the connection and the caller's end of a request."""
     near, far = trio.testing.memory_stream_pair()
     conn = wire.open_server(far)
     await near.send_all(REQUEST)
-    await wire.receive(conn)
+    for _ in range(2):
+        # The head and the end of the request.
+        await wire.receive(conn)
     listener = front.Front(
         now=trio.current_time,
         handle=None,  # type: ignore[arg-type]
@@ -318,7 +317,18 @@
         is_hop=False,
         coalesces_head=joins_head,
     )
-    caller = front.build_caller(front.Incoming(conn=conn, front=listener, max_body_bytes=1000))
+    incoming = front.Incoming(conn=conn, front=listener, max_body_bytes=1000)
+    return near, conn, front.build_caller(incoming)
+
+
+@pytest.mark.parametrize("joins_head", [True, False])
+async def test_cancelled_beginning_of_a_reply_is_replaced_completely(joins_head: bool) -> None:
+    """Guards against a reply with the head of one attempt and the body of the next.
+
+    The first attempt was cancelled in the same scheduler step in which its reply became too large
+    to be buffered.
+    """
+    near, _, caller = await receive_request(joins_head=joins_head)
     buffered = buffering.buffer_reply(caller, buffering.Buffer(usage=buffering.Usage()))
     first = b"first" * buffering.MAX_BUFFERED_BYTES
     length = str(len(first)).encode()
@@ -339,20 +349,7 @@
 @pytest.mark.parametrize("joins_head", [True, False])
 async def test_whole_reply_is_sent_although_it_is_cancelled(joins_head: bool) -> None:
     """Guards against a refusal in place of a reply that was whole when its deadline passed."""
-    near, far = trio.testing.memory_stream_pair()
-    conn = wire.open_server(far)
-    await near.send_all(REQUEST)
-    for _ in range(2):
-        # The head and the end of the request.
-        await wire.receive(conn)
-    listener = front.Front(
-        now=trio.current_time,
-        handle=None,  # type: ignore[arg-type]
-        find_limits=lambda service: (5.0, 1000),
-        is_hop=False,
-        coalesces_head=joins_head,
-    )
-    caller = front.build_caller(front.Incoming(conn=conn, front=listener, max_body_bytes=1000))
+    near, conn, caller = await receive_request(joins_head=joins_head)
     buffer = buffering.Buffer(usage=buffering.Usage())
     buffered = buffering.buffer_reply(caller, buffer)
     with trio.CancelScope() as scope:
